--- /dev/null
+++ b/lib/base/Events.h
@@ -0,0 +1,68 @@
+// The numbered events of the decision code. docs/EVENTS.md is the catalogue; a test keeps it equal
+// to this list. The decision code emits events as data; the programs log and keep them.
+#pragma once
+
+#include "base/Types.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+/// The number of an event never changes; a retired number is never used again.
+enum class EventId : uint16_t
+{
+  ProcessStarted = 100,
+  ProcessStopping = 101,
+  SettingsAccepted = 200,
+  SubtreeRefused = 201,
+  SettingsSourceFailed = 202,
+  HostHeard = 300,
+  HostLost = 301,
+  HostLeaving = 302,
+  DecisionsHeld = 303,
+  DecisionsResumed = 304,
+  MapAdopted = 400,
+  DecidingStarted = 401,
+  MovePrepared = 402,
+  MoveStarted = 403,
+  MoveSettled = 404,
+  OwnerReplaced = 405,
+  PinTableFull = 406,
+  UpstreamCold = 500,
+  UpstreamWarm = 501,
+  UpstreamLost = 502,
+  UpstreamDraining = 503,
+  AdmissionMetered = 504,
+  UpstreamBusy = 505,
+  DataCentreOut = 600,
+  DataCentreBack = 601,
+};
+
+/// One row of the catalogue.
+struct EventRow
+{
+  EventId m_id;
+  std::string_view m_name;
+  std::string_view m_meaning;
+};
+
+/// All events in the order of their numbers.
+[[nodiscard]] std::span<const EventRow>
+eventTable();
+
+/// The name of an event.
+[[nodiscard]] std::string_view
+eventName(EventId aId);
+
+/// Something the decision code did, with its cause in words.
+struct Event
+{
+  TimePoint m_at;
+  EventId m_id;
+  std::string m_text;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/lib/mapping/Bucket.h
@@ -0,0 +1,111 @@
+// One bucket of a service and the messages that spread bucket maps.
+#pragma once
+
+#include "base/Types.h"
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace tamarack::mapping {
+
+/// The life of a move. Outside Stable every host relays the bucket's packets to its owner.
+enum class Phase : uint8_t
+{
+  /// base == current; any host forwards to base at once.
+  Stable,
+  /// The owner still sends new flows to base, until no host forwards to base by itself.
+  Prepare,
+  /// The owner pins new flows to current; flows without a pin belong to base.
+  Moving,
+  /// base == current again; the owner holds pins of the flows that run elsewhere.
+  Pinned,
+};
+
+/// Orders the changes of a bucket; the higher stamp wins.
+struct Stamp
+{
+  uint32_t m_counter{};
+  HostId m_decider;
+
+  friend auto operator<=>(const Stamp&, const Stamp&) = default;
+};
+
+struct Bucket
+{
+  UpstreamId m_base;
+  UpstreamId m_current;
+  /// Zero exactly when the phase is Stable.
+  HostId m_owner;
+  /// Holds copies of the owner's pins; zero when there is no second host.
+  HostId m_replica;
+  Stamp m_stamp;
+  Phase m_phase{ Phase::Stable };
+
+  friend auto operator<=>(const Bucket&, const Bucket&) = default;
+};
+
+/// Buckets that share one value.
+struct BucketGroup
+{
+  Bucket m_value;
+  std::vector<uint16_t> m_buckets;
+};
+
+/// Changes of a service's map, or all of it.
+struct MapDelta
+{
+  ServiceId m_service;
+  /// Every bucket is in the delta.
+  bool m_isWhole{};
+  std::vector<BucketGroup> m_groups;
+};
+
+/// Asks for the whole maps of services; of all when empty.
+struct MapRequest
+{
+  std::vector<ServiceId> m_services;
+};
+
+/// The digests of the sender's maps, for a peer whose maps differ.
+struct MapSummary
+{
+  struct Entry
+  {
+    ServiceId m_service;
+    uint64_t m_digest{};
+  };
+  std::vector<Entry> m_entries;
+};
+
+/// One flow that does not follow its bucket's base.
+struct FlowPin
+{
+  FlowId m_flow;
+  UpstreamId m_upstream;
+};
+
+/// Pins of one bucket, to its replica or to its new owner.
+struct PinBatch
+{
+  ServiceId m_service;
+  uint16_t m_bucket{};
+  std::vector<FlowPin> m_pins;
+  /// Flows whose pins are void.
+  std::vector<FlowId> m_removed;
+  /// The sender owned the bucket and has sent everything that it held.
+  bool m_handoverDone{};
+};
+
+/// What an owner tells the deciding host about buckets.
+struct BucketReport
+{
+  ServiceId m_service;
+  /// Of Moving buckets: all running flows have pins at owner and replica.
+  /// Of Pinned buckets: no pin is left.
+  std::vector<uint16_t> m_settled;
+  /// The counters of the buckets' stamps, in the same order.
+  std::vector<uint32_t> m_counters;
+};
+
+} // namespace tamarack::mapping
--- /dev/null
+++ b/lib/mapping/BucketMap.cpp
@@ -0,0 +1,104 @@
+// Merging and grouping of buckets.
+#include "mapping/BucketMap.h"
+
+#include "base/Hash.h"
+
+#include <bit>
+#include <cassert>
+#include <map>
+#include <numeric>
+
+namespace tamarack::mapping {
+
+namespace {
+
+uint64_t
+hashBucket(size_t aIndex, const Bucket& aBucket)
+{
+  const uint64_t places = (uint64_t{ aBucket.m_base.m_value } << 32U) | aBucket.m_current.m_value;
+  const uint64_t hosts = (uint64_t{ aBucket.m_owner.m_value } << 32U) | aBucket.m_replica.m_value;
+  const uint64_t stamp =
+    (uint64_t{ aBucket.m_stamp.m_counter } << 32U) | aBucket.m_stamp.m_decider.m_value;
+  const uint64_t position = (aIndex << 8U) | static_cast<uint64_t>(aBucket.m_phase);
+  return mixHash(mixHash(places, hosts), mixHash(stamp, position));
+}
+
+/// The order in which offers win: by stamp, then by value so that all hosts choose alike.
+bool
+ordersAfter(const Bucket& aOffered, const Bucket& aHeld)
+{
+  if (aOffered.m_stamp != aHeld.m_stamp) {
+    return aOffered.m_stamp > aHeld.m_stamp;
+  }
+  return aOffered > aHeld;
+}
+
+} // namespace
+
+BucketMap::BucketMap(std::vector<Bucket> aInitial)
+  : m_buckets(std::move(aInitial))
+{
+  assert(std::has_single_bit(m_buckets.size()) && "the number of buckets is not a power of two");
+  for (size_t index = 0; index < m_buckets.size(); ++index) {
+    m_digest ^= hashBucket(index, m_buckets[index]);
+    m_highestCounter = std::max(m_highestCounter, m_buckets[index].m_stamp.m_counter);
+    m_unstable += m_buckets[index].m_phase == Phase::Stable ? 0 : 1;
+  }
+}
+
+bool
+BucketMap::adopt(size_t aIndex, const Bucket& aOffered)
+{
+  if (aIndex >= m_buckets.size() || !ordersAfter(aOffered, m_buckets[aIndex])) {
+    return false;
+  }
+  Bucket& held = m_buckets[aIndex];
+  m_digest ^= hashBucket(aIndex, held) ^ hashBucket(aIndex, aOffered);
+  m_unstable -= held.m_phase == Phase::Stable ? 0 : 1;
+  m_unstable += aOffered.m_phase == Phase::Stable ? 0 : 1;
+  m_highestCounter = std::max(m_highestCounter, aOffered.m_stamp.m_counter);
+  held = aOffered;
+  return true;
+}
+
+std::vector<BucketGroup>
+groupBuckets(const BucketMap& aMap, std::span<const uint16_t> aIndices)
+{
+  std::map<Bucket, std::vector<uint16_t>> byValue;
+  for (const uint16_t index : aIndices) {
+    byValue[aMap[index]].push_back(index);
+  }
+  std::vector<BucketGroup> groups;
+  groups.reserve(byValue.size());
+  for (auto& [value, indices] : byValue) {
+    groups.push_back({ value, std::move(indices) });
+  }
+  return groups;
+}
+
+MapDelta
+wholeMap(ServiceId aService, const BucketMap& aMap)
+{
+  std::vector<uint16_t> all(aMap.size());
+  std::iota(all.begin(), all.end(), uint16_t{ 0 });
+  return { .m_service = aService, .m_isWhole = true, .m_groups = groupBuckets(aMap, all) };
+}
+
+std::vector<Bucket>
+expandWhole(const MapDelta& aDelta, size_t aBuckets)
+{
+  std::vector<Bucket> buckets(aBuckets);
+  size_t filled = 0;
+  for (const BucketGroup& group : aDelta.m_groups) {
+    for (const uint16_t index : group.m_buckets) {
+      if (index >= aBuckets) {
+        return {};
+      }
+      buckets[index] = group.m_value;
+      ++filled;
+    }
+  }
+  return filled == aBuckets ? buckets : std::vector<Bucket>{};
+}
+
+} // namespace tamarack::mapping
--- /dev/null
+++ b/lib/node/Context.h
@@ -0,0 +1,68 @@
+// What the duties of one host share: its membership, its services, its settings and its links.
+#pragma once
+
+#include "base/EventLog.h"
+#include "membership/Membership.h"
+#include "node/Messages.h"
+#include "node/ServiceState.h"
+
+#include <map>
+
+namespace tamarack::node {
+
+/// Settings that no source has confirmed for this long are not fresh.
+inline constexpr Millis kSettingsLease{ 10'000 };
+
+struct Context
+{
+  explicit Context(membership::MembershipOptions aOptions)
+    : m_membership(std::move(aOptions), m_events)
+  {
+  }
+
+  /// Queues a body for a peer.
+  channel::Ticket send(HostId aTo, Body aBody) { return m_channels[aTo].send(std::move(aBody)); }
+
+  /// Queues a body for every alive peer.
+  void broadcast(const Body& aBody)
+  {
+    for (const auto& [host, peer] : m_membership.peers()) {
+      if (peer.m_alive) {
+        send(host, aBody);
+      }
+    }
+  }
+
+  [[nodiscard]] ServiceState* findService(ServiceId aService)
+  {
+    const auto found = m_services.find(aService);
+    return found == m_services.end() ? nullptr : found->second.get();
+  }
+
+  [[nodiscard]] bool isSettingsFresh(TimePoint aNow) const
+  {
+    return aNow - m_settingsConfirmedAt < kSettingsLease;
+  }
+
+  /// Another host has newer settings, so an unknown upstream may just be new.
+  [[nodiscard]] bool areSettingsBehind() const
+  {
+    for (const auto& [host, peer] : m_membership.peers()) {
+      if (peer.m_alive && m_settings && peer.m_settingsRevision > m_settings->m_revision) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  EventLog m_events;
+  membership::Membership m_membership;
+  std::map<HostId, Channel> m_channels;
+  settings::SettingsPtr m_settings;
+  TimePoint m_settingsConfirmedAt;
+  ServiceTable m_services;
+  /// Until then, peers that came back after a partition may know pins that this host does not.
+  TimePoint m_healingUntil;
+};
+
+} // namespace tamarack::node
--- /dev/null
+++ b/lib/node/DeciderDuty.cpp
@@ -0,0 +1,544 @@
+// Planning of moves and judging of upstreams.
+#include "node/DeciderDuty.h"
+
+#include "base/Address.h"
+#include "base/Hash.h"
+#include "mapping/Assignment.h"
+
+#include <algorithm>
+
+namespace tamarack::node {
+
+namespace {
+
+using admission::Judgement;
+using admission::Mode;
+using mapping::Bucket;
+using mapping::Phase;
+
+/// Buckets that move to one upstream are spread over this many owners.
+constexpr uint16_t kOwnersPerUpstream = 4;
+constexpr Millis kTargetRefresh{ 1000 };
+
+std::vector<UpstreamId>
+currentUpstreams(const mapping::BucketMap& aMap)
+{
+  std::vector<UpstreamId> held;
+  held.reserve(aMap.size());
+  for (const Bucket& bucket : aMap.buckets()) {
+    held.push_back(bucket.m_current);
+  }
+  return held;
+}
+
+EventId
+eventOf(const Judgement& aJudgement)
+{
+  if (aJudgement.m_lost) {
+    return EventId::UpstreamLost;
+  }
+  if (aJudgement.m_busy) {
+    return EventId::UpstreamBusy;
+  }
+  if (aJudgement.m_cold) {
+    return EventId::UpstreamCold;
+  }
+  switch (aJudgement.m_mode) {
+    case Mode::Open:
+      return EventId::UpstreamWarm;
+    case Mode::Metered:
+      return EventId::AdmissionMetered;
+    case Mode::Closed:
+      return EventId::UpstreamDraining;
+  }
+  return EventId::UpstreamWarm;
+}
+
+} // namespace
+
+void
+DeciderDuty::tick(TimePoint aNow)
+{
+  const membership::Membership& members = m_context.m_membership;
+  for (auto& [id, service] : m_context.m_services) {
+    if (members.deciderOf(id) != members.self()) {
+      m_deciding.erase(id);
+      continue;
+    }
+    if (!m_deciding.contains(id)) {
+      start(aNow, *service);
+    }
+    Deciding& deciding = m_deciding[id];
+    judgeUpstreams(aNow, *service, deciding);
+    finishPrepared(aNow, *service, deciding);
+    refreshTargets(aNow, *service, deciding);
+    plan(aNow, *service, deciding);
+  }
+  std::erase_if(m_deciding,
+                [&](const auto& aEntry) { return !m_context.m_services.contains(aEntry.first); });
+}
+
+void
+DeciderDuty::start(TimePoint aNow, ServiceState& aService)
+{
+  Deciding& deciding = m_deciding[aService.id()];
+  for (const settings::Upstream& upstream : aService.m_settings.m_upstreams) {
+    admission::UpstreamTracker tracker(aService.m_settings.m_limits);
+    const auto mode = aService.m_modes.find(upstream.m_id);
+    if (mode != aService.m_modes.end() && !mode->second.m_cold) {
+      tracker.assumeWarm(aNow);
+    } else {
+      tracker.startCold(aNow,
+                        mode == aService.m_modes.end() ? Millis{ 0 } : mode->second.m_coldFor);
+    }
+    deciding.m_trackers.emplace(upstream.m_id, tracker);
+  }
+  m_context.m_events.add(aNow, EventId::DecidingStarted, "service " + aService.m_settings.m_name);
+  // Nobody else will finish what a former decider has prepared.
+  std::vector<std::pair<uint16_t, Bucket>> again;
+  Prepared prepared{ .m_startedAt = aNow };
+  for (size_t index = 0; index < aService.m_map.size(); ++index) {
+    if (aService.m_map[index].m_phase == Phase::Prepare) {
+      again.emplace_back(static_cast<uint16_t>(index), aService.m_map[index]);
+      prepared.m_buckets.push_back(static_cast<uint16_t>(index));
+    }
+  }
+  if (!again.empty()) {
+    prepared.m_tickets = publish(aNow, aService, again);
+    deciding.m_prepared.push_back(std::move(prepared));
+  }
+}
+
+void
+DeciderDuty::assumeWarm(ServiceState& aService)
+{
+  for (const settings::Upstream& upstream : aService.m_settings.m_upstreams) {
+    admission::ModeUpdate mode{ .m_service = aService.id(),
+                                .m_upstream = upstream.m_id,
+                                .m_mode = Mode::Open };
+    aService.m_modes.try_emplace(upstream.m_id, mode);
+  }
+}
+
+void
+DeciderDuty::onColdBySettings(TimePoint aNow,
+                              ServiceId aService,
+                              std::span<const UpstreamId> aUpstreams)
+{
+  const auto deciding = m_deciding.find(aService);
+  const ServiceState* service = m_context.findService(aService);
+  if (deciding == m_deciding.end() || service == nullptr) {
+    return;
+  }
+  for (const UpstreamId upstream : aUpstreams) {
+    auto [tracker, isNew] =
+      deciding->second.m_trackers.try_emplace(upstream, service->m_settings.m_limits);
+    tracker->second.startCold(aNow);
+    deciding->second.m_toldAt.erase(upstream);
+  }
+}
+
+void
+DeciderDuty::onUpstreamReport(TimePoint aNow, const admission::UpstreamReport& aReport)
+{
+  const auto deciding = m_deciding.find(aReport.m_service);
+  if (deciding == m_deciding.end()) {
+    return;
+  }
+  const auto tracker = deciding->second.m_trackers.find(aReport.m_upstream);
+  if (tracker != deciding->second.m_trackers.end()) {
+    tracker->second.onReport(aNow, aReport);
+  }
+}
+
+void
+DeciderDuty::judgeUpstreams(TimePoint aNow, ServiceState& aService, Deciding& aDeciding)
+{
+  for (const settings::Upstream& upstream : aService.m_settings.m_upstreams) {
+    judgeUpstream(aNow, aService, aDeciding, upstream);
+  }
+  std::erase_if(aDeciding.m_trackers,
+                [&](const auto& aEntry) { return aService.find(aEntry.first) == nullptr; });
+}
+
+void
+DeciderDuty::judgeUpstream(TimePoint aNow,
+                           ServiceState& aService,
+                           Deciding& aDeciding,
+                           const settings::Upstream& aUpstream)
+{
+  auto [entry, isNew] =
+    aDeciding.m_trackers.try_emplace(aUpstream.m_id, aService.m_settings.m_limits);
+  admission::UpstreamTracker& tracker = entry->second;
+  if (isNew) {
+    tracker.startCold(aNow);
+  }
+  tracker.onLimits(aService.m_settings.m_limits);
+  const Judgement judgement = tracker.judge(aNow);
+  if (!judgement.m_lost) {
+    aDeciding.m_lostSince.erase(aUpstream.m_id);
+  } else {
+    aDeciding.m_lostSince.try_emplace(aUpstream.m_id, aNow);
+  }
+  const auto before = aDeciding.m_judgements.find(aUpstream.m_id);
+  const bool changed =
+    before == aDeciding.m_judgements.end() || before->second.m_mode != judgement.m_mode ||
+    before->second.m_cold != judgement.m_cold || before->second.m_reason != judgement.m_reason;
+  const auto told = aDeciding.m_toldAt.find(aUpstream.m_id);
+  const bool isDue =
+    told == aDeciding.m_toldAt.end() || (judgement.m_cold && aNow - told->second >= kModeRefresh);
+  if (!changed && !isDue) {
+    return;
+  }
+  const auto held = aService.m_modes.find(aUpstream.m_id);
+  const bool isSame = held != aService.m_modes.end() && held->second.m_mode == judgement.m_mode &&
+                      held->second.m_cold == judgement.m_cold && !judgement.m_cold;
+  aDeciding.m_judgements[aUpstream.m_id] = judgement;
+  aDeciding.m_toldAt[aUpstream.m_id] = aNow;
+  if (changed && !isSame) {
+    m_context.m_events.add(aNow,
+                           eventOf(judgement),
+                           "upstream " + aUpstream.m_name + ": " + std::string(judgement.m_reason));
+  }
+  if (!isSame) {
+    tellMode(aService, aUpstream.m_id, judgement, tracker.coldFor(aNow));
+  }
+}
+
+void
+DeciderDuty::tellMode(ServiceState& aService,
+                      UpstreamId aUpstream,
+                      const Judgement& aJudgement,
+                      Millis aColdFor)
+{
+  admission::ModeUpdate& mode = aService.m_modes[aUpstream];
+  mode = { .m_service = aService.id(),
+           .m_upstream = aUpstream,
+           .m_mode = aJudgement.m_mode,
+           .m_cold = aJudgement.m_cold,
+           .m_coldFor = aColdFor,
+           .m_counter = mode.m_counter + 1,
+           .m_decider = m_context.m_membership.self(),
+           .m_settingsRevision = m_context.m_settings->m_revision };
+  m_context.broadcast(mode);
+}
+
+void
+DeciderDuty::refreshTargets(TimePoint aNow, ServiceState& aService, Deciding& aDeciding)
+{
+  std::vector<UpstreamId> eligible;
+  for (const settings::Upstream& upstream : aService.m_settings.m_upstreams) {
+    const UpstreamInfo* info = aService.find(upstream.m_id);
+    const auto lost = aDeciding.m_lostSince.find(upstream.m_id);
+    const bool isLost =
+      lost != aDeciding.m_lostSince.end() && aNow - lost->second >= kReassignAfter;
+    if (info != nullptr && !info->m_out && !info->m_draining && !isLost) {
+      eligible.push_back(upstream.m_id);
+    }
+  }
+  std::ranges::sort(eligible);
+  const bool isDue = aNow - aDeciding.m_targetsAt >= kTargetRefresh;
+  if (eligible == aDeciding.m_eligible && !isDue) {
+    return;
+  }
+  aDeciding.m_targetsAt = aNow;
+  if (eligible.empty()) {
+    aDeciding.m_targets = currentUpstreams(aService.m_map);
+    return;
+  }
+  aDeciding.m_eligible = std::move(eligible);
+  aDeciding.m_targets =
+    mapping::assignAgain(aService.id(), aDeciding.m_eligible, currentUpstreams(aService.m_map));
+}
+
+void
+DeciderDuty::plan(TimePoint aNow, ServiceState& aService, Deciding& aDeciding)
+{
+  std::vector<std::pair<uint16_t, Bucket>> changes;
+  Prepared prepared{ .m_startedAt = aNow };
+  size_t started = 0;
+  size_t replaced = 0;
+  for (size_t index = 0; index < aService.m_map.size(); ++index) {
+    const auto bucketIndex = static_cast<uint16_t>(index);
+    const bool mayVolunteer =
+      aService.m_map.unstableCount() + prepared.m_buckets.size() < kMaxVoluntaryMoves;
+    const auto next = planBucket(aService, aDeciding, bucketIndex, mayVolunteer);
+    if (!next) {
+      continue;
+    }
+    const Bucket& before = aService.m_map[index];
+    changes.emplace_back(bucketIndex, *next);
+    if (next->m_phase == Phase::Prepare) {
+      prepared.m_buckets.push_back(bucketIndex);
+    }
+    started += next->m_phase == Phase::Moving && before.m_current != next->m_current ? 1 : 0;
+    replaced += before.m_owner && before.m_owner != next->m_owner ? 1 : 0;
+  }
+  if (changes.empty()) {
+    return;
+  }
+  auto tickets = publish(aNow, aService, changes);
+  const std::string where = " buckets of service " + aService.m_settings.m_name;
+  if (started > 0) {
+    m_context.m_events.add(aNow, EventId::MoveStarted, std::to_string(started) + where);
+  }
+  if (replaced > 0) {
+    m_context.m_events.add(aNow, EventId::OwnerReplaced, std::to_string(replaced) + where);
+  }
+  if (!prepared.m_buckets.empty()) {
+    m_context.m_events.add(
+      aNow, EventId::MovePrepared, std::to_string(prepared.m_buckets.size()) + where);
+    prepared.m_tickets = std::move(tickets);
+    aDeciding.m_prepared.push_back(std::move(prepared));
+  }
+}
+
+std::optional<Bucket>
+DeciderDuty::planBucket(const ServiceState& aService,
+                        const Deciding& aDeciding,
+                        uint16_t aIndex,
+                        bool aMayVolunteer) const
+{
+  const Bucket& bucket = aService.m_map[aIndex];
+  if (bucket.m_phase == Phase::Stable) {
+    return planStable(aService, aDeciding, bucket, aIndex, aMayVolunteer);
+  }
+  const UpstreamId target = aDeciding.m_targets[aIndex];
+  Bucket next = bucket;
+  if (bucket.m_phase == Phase::Prepare && !aService.isLive(bucket.m_base)) {
+    next.m_phase = Phase::Moving;
+  }
+  const bool mayRetarget = bucket.m_phase != Phase::Prepare;
+  if (mayRetarget && target && bucket.m_current != target) {
+    next.m_current = target;
+    next.m_phase = Phase::Moving;
+  }
+  if (bucket.m_phase == Phase::Pinned && aService.modeOf(bucket.m_base) != Mode::Open) {
+    next.m_phase = Phase::Moving;
+  }
+  if (needsOwner(bucket)) {
+    assignOwners(next, aIndex);
+  }
+  return next == bucket ? std::nullopt : std::optional(next);
+}
+
+std::optional<Bucket>
+DeciderDuty::planStable(const ServiceState& aService,
+                        const Deciding& aDeciding,
+                        const Bucket& aBucket,
+                        uint16_t aIndex,
+                        bool aMayVolunteer) const
+{
+  const UpstreamId target = aDeciding.m_targets[aIndex];
+  const bool isOpen = aService.modeOf(aBucket.m_base) == Mode::Open;
+  if (!target || (target == aBucket.m_base && isOpen)) {
+    return std::nullopt;
+  }
+  if (isOpen && !aMayVolunteer) {
+    return std::nullopt;
+  }
+  Bucket next = aBucket;
+  next.m_current = target;
+  // Flows of a base that is gone are over, so no host can send them there by itself.
+  next.m_phase = aService.isLive(aBucket.m_base) ? Phase::Prepare : Phase::Moving;
+  assignOwners(next, aIndex);
+  return next;
+}
+
+void
+DeciderDuty::finishPrepared(TimePoint aNow, ServiceState& aService, Deciding& aDeciding)
+{
+  std::vector<std::pair<uint16_t, Bucket>> changes;
+  std::erase_if(aDeciding.m_prepared, [&](Prepared& aPrepared) {
+    if (!isKnownEverywhere(aNow, aService, aPrepared)) {
+      return false;
+    }
+    for (const uint16_t index : aPrepared.m_buckets) {
+      Bucket next = aService.m_map[index];
+      if (next.m_phase == Phase::Prepare) {
+        next.m_phase = Phase::Moving;
+        changes.emplace_back(index, next);
+      }
+    }
+    return true;
+  });
+  if (changes.empty()) {
+    return;
+  }
+  publish(aNow, aService, changes);
+  m_context.m_events.add(aNow,
+                         EventId::MoveStarted,
+                         std::to_string(changes.size()) + " buckets of service " +
+                           aService.m_settings.m_name);
+}
+
+bool
+DeciderDuty::isKnownEverywhere(TimePoint aNow, ServiceState& aService, Prepared& aPrepared)
+{
+  bool allKnow = true;
+  for (const auto& [host, peer] : m_context.m_membership.peers()) {
+    if (!peer.m_alive) {
+      continue;
+    }
+    const Channel& channel = m_context.m_channels[host];
+    const auto ticket = aPrepared.m_tickets.find(host);
+    if (ticket == aPrepared.m_tickets.end() || channel.isDropped(ticket->second)) {
+      mapping::MapDelta delta{ .m_service = aService.id() };
+      delta.m_groups = mapping::groupBuckets(aService.m_map, aPrepared.m_buckets);
+      aPrepared.m_tickets[host] = m_context.send(host, std::move(delta));
+      allKnow = false;
+      continue;
+    }
+    allKnow = allKnow && channel.isDelivered(ticket->second);
+  }
+  const Millis waited = aNow - aPrepared.m_startedAt;
+  return waited >= kPrepareLimit || (allKnow && waited >= kPrepareTime);
+}
+
+void
+DeciderDuty::onBucketReport(TimePoint aNow, const mapping::BucketReport& aReport)
+{
+  ServiceState* service = m_context.findService(aReport.m_service);
+  const auto deciding = m_deciding.find(aReport.m_service);
+  const bool isWhole = aReport.m_settled.size() == aReport.m_counters.size();
+  if (service == nullptr || deciding == m_deciding.end() || !isWhole) {
+    return;
+  }
+  // Base changes only while nobody is cut off, so that both sides of a partition agree on base.
+  if (!m_context.m_membership.seesEveryone()) {
+    return;
+  }
+  std::vector<std::pair<uint16_t, Bucket>> changes;
+  for (size_t entry = 0; entry < aReport.m_settled.size(); ++entry) {
+    const uint16_t index = aReport.m_settled[entry];
+    if (index >= service->m_map.size() ||
+        service->m_map[index].m_stamp.m_counter != aReport.m_counters[entry]) {
+      continue;
+    }
+    Bucket next = service->m_map[index];
+    const bool isOpen = service->modeOf(next.m_current) == Mode::Open;
+    if (!isOpen || deciding->second.m_targets[index] != next.m_current) {
+      continue;
+    }
+    if (next.m_phase == Phase::Moving) {
+      next.m_phase = Phase::Pinned;
+      next.m_base = next.m_current;
+    } else if (next.m_phase == Phase::Pinned) {
+      next.m_phase = Phase::Stable;
+      next.m_owner = {};
+      next.m_replica = {};
+    }
+    changes.emplace_back(index, next);
+  }
+  if (changes.empty()) {
+    return;
+  }
+  publish(aNow, *service, changes);
+  m_context.m_events.add(aNow,
+                         EventId::MoveSettled,
+                         std::to_string(changes.size()) + " buckets of service " +
+                           service->m_settings.m_name);
+}
+
+void
+DeciderDuty::onGrantRequest(TimePoint aNow, HostId aFrom, const admission::GrantRequest& aRequest)
+{
+  const auto deciding = m_deciding.find(aRequest.m_service);
+  const ServiceState* service = m_context.findService(aRequest.m_service);
+  if (deciding == m_deciding.end() || service == nullptr) {
+    return;
+  }
+  const auto tracker = deciding->second.m_trackers.find(aRequest.m_upstream);
+  if (tracker == deciding->second.m_trackers.end()) {
+    return;
+  }
+  const Judgement judgement = tracker->second.judge(aNow);
+  admission::Grant grant{ .m_service = aRequest.m_service,
+                          .m_upstream = aRequest.m_upstream,
+                          .m_askedAt = aRequest.m_askedAt };
+  if (judgement.m_mode != Mode::Closed) {
+    const admission::AdmissionBudget::Situation situation{
+      .m_share = m_context.m_membership.voteShare(aNow, aRequest.m_service),
+      .m_cold = judgement.m_cold,
+      .m_connections = tracker->second.connections(),
+      .m_reportedAt = tracker->second.reportedAt(),
+    };
+    grant.m_count = deciding->second.m_budgets[aRequest.m_upstream].grant(
+      aNow, aRequest.m_wanted, service->m_settings.m_limits, situation);
+  }
+  m_context.send(aFrom, grant);
+}
+
+const admission::UpstreamTracker*
+DeciderDuty::tracker(ServiceId aService, UpstreamId aUpstream) const
+{
+  const auto deciding = m_deciding.find(aService);
+  if (deciding == m_deciding.end()) {
+    return nullptr;
+  }
+  const auto found = deciding->second.m_trackers.find(aUpstream);
+  return found == deciding->second.m_trackers.end() ? nullptr : &found->second;
+}
+
+std::map<HostId, channel::Ticket>
+DeciderDuty::publish(TimePoint aNow,
+                     ServiceState& aService,
+                     std::span<const std::pair<uint16_t, Bucket>> aChanges)
+{
+  const mapping::Stamp stamp{ aService.m_map.highestCounter() + 1, m_context.m_membership.self() };
+  std::vector<mapping::BucketGroup> groups;
+  std::vector<uint16_t> indices;
+  for (const auto& [index, value] : aChanges) {
+    Bucket stamped = value;
+    stamped.m_stamp = stamp;
+    groups.push_back({ stamped, { index } });
+    indices.push_back(index);
+  }
+  m_keeper.adopt(aNow, aService, groups);
+  const mapping::MapDelta delta{ .m_service = aService.id(),
+                                 .m_groups = mapping::groupBuckets(aService.m_map, indices) };
+  std::map<HostId, channel::Ticket> tickets;
+  for (const auto& [host, peer] : m_context.m_membership.peers()) {
+    if (peer.m_alive) {
+      tickets[host] = m_context.send(host, delta);
+    }
+  }
+  return tickets;
+}
+
+void
+DeciderDuty::assignOwners(Bucket& aBucket, uint16_t aIndex) const
+{
+  std::vector<HostId> candidates = m_context.m_membership.candidates();
+  const bool keepsReplica = isCandidate(aBucket.m_replica) && !isCandidate(aBucket.m_owner);
+  const bool keepsOwner = isCandidate(aBucket.m_owner);
+  const uint64_t key = mixHash(aBucket.m_current.m_value, aIndex % kOwnersPerUpstream);
+  if (keepsReplica) {
+    aBucket.m_owner = aBucket.m_replica;
+  } else if (!keepsOwner) {
+    aBucket.m_owner = pickByRendezvous(key, candidates);
+  }
+  std::erase(candidates, aBucket.m_owner);
+  const bool replicaStands = isCandidate(aBucket.m_replica) && aBucket.m_replica != aBucket.m_owner;
+  if (!replicaStands) {
+    aBucket.m_replica = pickByRendezvous(key, candidates);
+  }
+}
+
+bool
+DeciderDuty::needsOwner(const Bucket& aBucket) const
+{
+  if (!isCandidate(aBucket.m_owner)) {
+    return true;
+  }
+  const bool hasOthers = m_context.m_membership.candidates().size() > 1;
+  return hasOthers && !isCandidate(aBucket.m_replica);
+}
+
+bool
+DeciderDuty::isCandidate(HostId aHost) const
+{
+  return std::ranges::binary_search(m_context.m_membership.candidates(), aHost);
+}
+
+} // namespace tamarack::node
--- /dev/null
+++ b/lib/node/MapKeeper.h
@@ -0,0 +1,45 @@
+// Applies changes of bucket maps, whoever made them, and tells the owner's duty what changed.
+#pragma once
+
+#include "node/OwnerDuty.h"
+
+namespace tamarack::node {
+
+class MapKeeper
+{
+public:
+  explicit MapKeeper(OwnerDuty& aOwner)
+    : m_owner(aOwner)
+  {
+  }
+
+  /// Merges groups of buckets into a service's map. Returns the buckets that changed.
+  std::vector<uint16_t> adopt(TimePoint aNow,
+                              ServiceState& aService,
+                              std::span<const mapping::BucketGroup> aGroups)
+  {
+    std::vector<BucketChange> changes;
+    std::vector<uint16_t> changed;
+    for (const mapping::BucketGroup& group : aGroups) {
+      for (const uint16_t bucket : group.m_buckets) {
+        if (bucket >= aService.m_map.size()) {
+          continue;
+        }
+        const mapping::Bucket before = aService.m_map[bucket];
+        if (aService.m_map.adopt(bucket, group.m_value)) {
+          changes.push_back({ bucket, before });
+          changed.push_back(bucket);
+        }
+      }
+    }
+    if (!changes.empty()) {
+      m_owner.onBucketsChanged(aNow, aService, changes);
+    }
+    return changed;
+  }
+
+private:
+  OwnerDuty& m_owner;
+};
+
+} // namespace tamarack::node
--- /dev/null
+++ b/lib/node/Node.h
@@ -0,0 +1,134 @@
+// One entry host's decisions: composes the duties, routes messages to them and keeps the rules that
+// concern all of them (first start, pauses, planned stop). It does no I/O and reads no clock.
+#pragma once
+
+#include "node/DeciderDuty.h"
+#include "node/PacketPath.h"
+
+#include <set>
+#include <span>
+#include <vector>
+
+namespace tamarack::node {
+
+/// `tick` is called this often.
+inline constexpr Millis kTickInterval{ 100 };
+/// A host whose ticks are further apart than this was paused.
+inline constexpr Millis kPauseLimit{ 800 };
+/// After a pause a host that hears nobody serves by what it knows from this time on.
+inline constexpr Millis kHoldLimit{ 3000 };
+/// A first host waits this long for others before it computes a map of its own.
+inline constexpr Millis kBootWait{ 2500 };
+/// A planned stop lasts at least this long, so that every host has heard of it.
+inline constexpr Millis kLeaveTime{ 2000 };
+/// Hosts that probe one upstream.
+inline constexpr size_t kProbersPerUpstream = 2;
+
+using NodeOptions = membership::MembershipOptions;
+
+/// An upstream that this host shall probe.
+struct ProbeTarget
+{
+  ServiceId m_service;
+  UpstreamId m_upstream;
+  Ipv4 m_address;
+  std::string m_serviceName;
+  std::string m_upstreamName;
+};
+
+/// Counters of one host.
+struct NodeCounters
+{
+  ErrorCounters m_errors{};
+  uint64_t m_forwarded{};
+  uint64_t m_relayed{};
+  uint64_t m_retried{};
+};
+
+class Node
+{
+public:
+  Node(NodeOptions aOptions, TimePoint aNow);
+
+  void onSettings(TimePoint aNow, settings::SettingsPtr aSettings);
+  /// The platform, directly or through others, confirmed the settings at `aAt` of our clock.
+  void onSettingsConfirmed(TimePoint aAt);
+  void onHostList(TimePoint aNow, std::span<const membership::ListedHost> aHosts);
+  void onFrame(TimePoint aNow, Frame aFrame);
+  void onProbe(TimePoint aNow, const admission::UpstreamReport& aReport);
+  void tick(TimePoint aNow);
+  [[nodiscard]] Decision decide(TimePoint aNow, const Arrival& aArrival);
+
+  /// Frames to send now. Call it after each of the calls above but `decide`.
+  [[nodiscard]] std::vector<OutgoingFrame> takeFrames(TimePoint aNow);
+  [[nodiscard]] std::vector<ProbeTarget> probeTargets(TimePoint aNow) const;
+
+  /// Begins a planned stop.
+  void startLeaving(TimePoint aNow);
+  /// The planned stop is complete; the process may end after the last frames are sent.
+  [[nodiscard]] bool hasLeft() const { return m_left; }
+
+  [[nodiscard]] Context& context() { return m_context; }
+  [[nodiscard]] const Context& context() const { return m_context; }
+  [[nodiscard]] const NodeCounters& counters() const { return m_counters; }
+  [[nodiscard]] const PacketPath& path() const { return m_path; }
+  [[nodiscard]] const DeciderDuty& decider() const { return m_decider; }
+  [[nodiscard]] uint64_t mapDigest() const;
+
+private:
+  void receive(TimePoint aNow, HostId aFrom, const mapping::MapDelta& aDelta);
+  void receive(TimePoint aNow, HostId aFrom, const mapping::MapRequest& aRequest);
+  void receive(TimePoint aNow, HostId aFrom, const mapping::MapSummary& aSummary);
+  void receive(TimePoint aNow, HostId aFrom, const mapping::PinBatch& aBatch);
+  void receive(TimePoint aNow, HostId aFrom, const mapping::BucketReport& aReport);
+  void receive(TimePoint aNow, HostId aFrom, const admission::UpstreamReport& aReport);
+  void receive(TimePoint aNow, HostId aFrom, const admission::ModeUpdate& aUpdate);
+  void receive(TimePoint aNow, HostId aFrom, const admission::GrantRequest& aRequest);
+  void receive(TimePoint aNow, HostId aFrom, const admission::Grant& aGrant);
+  void receive(TimePoint aNow, HostId aFrom, const membership::HostIntroduction& aIntroduction);
+
+  void onPeerOutcome(HostId aPeer, const membership::HeartbeatOutcome& aOutcome, TimePoint aNow);
+  void onPeerLost(HostId aPeer);
+  void renewLease(TimePoint aNow, const membership::Heartbeat& aHeartbeat, const Channel& aChannel);
+  void introduce(HostId aNewcomer);
+  [[nodiscard]] OutgoingFrame makeFrame(TimePoint aNow, HostId aPeer);
+  [[nodiscard]] mapping::MapSummary summary() const;
+  void reconcileMaps(TimePoint aNow);
+
+  void establish(TimePoint aNow);
+  void computeMissingMaps(TimePoint aNow);
+  void addService(const settings::Service& aService, std::vector<mapping::Bucket> aBuckets);
+  std::vector<UpstreamId> updateUpstreams(const settings::SettingsPtr& aBefore,
+                                          const settings::Service& aService,
+                                          ServiceState& aState);
+  void markCold(TimePoint aNow, ServiceState& aState, std::span<const UpstreamId> aUpstreams);
+  void logDataCentres(TimePoint aNow, const settings::SettingsPtr& aBefore);
+
+  void notePause(TimePoint aNow);
+  void endHold(TimePoint aNow, std::string_view aCause);
+  void advanceLeaving(TimePoint aNow);
+
+  Context m_context;
+  OwnerDuty m_owner;
+  MapKeeper m_keeper;
+  DeciderDuty m_decider;
+  PacketPath m_path;
+  NodeCounters m_counters;
+
+  TimePoint m_startedAt;
+  TimePoint m_tickedAt;
+  TimePoint m_heldSince;
+  TimePoint m_askedForMapAt;
+  TimePoint m_reconciledAt;
+  TimePoint m_digestSince;
+  uint64_t m_lastDigest{};
+  /// When the newest frame to a peer was made.
+  std::map<HostId, TimePoint> m_framedAt;
+  /// Peers whose whole map this host has held; from then on their channel keeps it complete.
+  std::set<HostId> m_synced;
+  bool m_sendsHeartbeats{};
+  TimePoint m_leavingSince;
+  bool m_left{};
+};
+
+} // namespace tamarack::node
--- /dev/null
+++ b/lib/node/NodeMessages.cpp
@@ -0,0 +1,345 @@
+// Frames of one host: what it does with each body and when it sends frames of its own.
+#include "base/Address.h"
+#include "node/Node.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+#include <utility>
+
+namespace tamarack::node {
+
+namespace {
+
+/// Hosts that are not heard are greeted this often.
+constexpr Millis kGreetInterval{ 1000 };
+/// Digests of two hosts must differ for this long before maps are exchanged.
+constexpr Millis kReconcileAfter{ 1500 };
+constexpr Millis kReconcileInterval{ 1000 };
+/// How long a returned peer may know pins that this host does not.
+constexpr Millis kHealingTime{ 2000 };
+
+} // namespace
+
+void
+Node::onFrame(TimePoint aNow, Frame aFrame)
+{
+  notePause(aNow);
+  const membership::Heartbeat& heartbeat = aFrame.m_heartbeat;
+  const HostId from = heartbeat.m_from;
+  if (from == m_context.m_membership.self() || !from) {
+    return;
+  }
+  const auto outcome = m_context.m_membership.onHeartbeat(aNow, heartbeat);
+  if (!outcome.m_accepted) {
+    return;
+  }
+  Channel& channel = m_context.m_channels[from];
+  onPeerOutcome(from, outcome, aNow);
+  const bool isNewEpoch = heartbeat.m_channelEpoch > channel.peerEpoch();
+  if (isNewEpoch) {
+    m_synced.erase(from);
+  }
+  channel.onAck(heartbeat.m_ackEpoch, heartbeat.m_ack);
+  auto bodies = channel.receive(heartbeat.m_channelEpoch, std::move(aFrame.m_bodies));
+  for (const Body& body : bodies) {
+    std::visit([&](const auto& aBody) { receive(aNow, from, aBody); }, body);
+  }
+  const membership::Peer* peer = m_context.m_membership.find(from);
+  const bool isNewest = peer != nullptr && peer->m_peerSentAt == heartbeat.m_sentAt;
+  if (isNewest) {
+    renewLease(aNow, heartbeat, channel);
+  }
+  const settings::SettingsPtr& settings = m_context.m_settings;
+  if (settings && heartbeat.m_settingsRevision <= settings->m_revision) {
+    onSettingsConfirmed(aNow - heartbeat.m_settingsAge);
+  }
+}
+
+void
+Node::onPeerOutcome(HostId aPeer, const membership::HeartbeatOutcome& aOutcome, TimePoint aNow)
+{
+  if (aOutcome.m_newIncarnation) {
+    m_synced.erase(aPeer);
+    m_context.m_channels[aPeer].restart();
+    m_context.m_channels[aPeer].forgetPeer();
+    m_owner.onReplicaRestarted(aPeer);
+  }
+  if (aOutcome.m_cameBack) {
+    m_synced.erase(aPeer);
+    if (!m_path.isHeld()) {
+      m_context.m_healingUntil = aNow + kHealingTime;
+    }
+    if (m_context.m_membership.isEstablished()) {
+      m_context.send(aPeer, summary());
+    }
+  }
+  if (aOutcome.m_newPeer) {
+    introduce(aPeer);
+  }
+}
+
+void
+Node::onPeerLost(HostId aPeer)
+{
+  m_synced.erase(aPeer);
+  m_context.m_channels[aPeer].restart();
+  m_owner.onReplicaRestarted(aPeer);
+}
+
+void
+Node::renewLease(TimePoint aNow, const membership::Heartbeat& aHeartbeat, const Channel& aChannel)
+{
+  if (!aHeartbeat.m_established ||
+      !aChannel.hasAll(aHeartbeat.m_channelEpoch, aHeartbeat.m_channelLast)) {
+    return;
+  }
+  const HostId from = aHeartbeat.m_from;
+  if (aHeartbeat.m_mapDigest == mapDigest()) {
+    m_synced.insert(from);
+  }
+  if (!m_synced.contains(from)) {
+    return;
+  }
+  m_context.m_membership.renewLease(from);
+  if (m_path.isHeld() && aHeartbeat.m_echo >= m_heldSince) {
+    endHold(aNow, "host " + formatHost(from) + " was heard");
+  }
+}
+
+void
+Node::introduce(HostId aNewcomer)
+{
+  membership::HostIntroduction known;
+  for (const auto& [host, peer] : m_context.m_membership.peers()) {
+    if (host != aNewcomer && peer.m_alive) {
+      known.m_hosts.push_back({ host, peer.m_dataCentre });
+      m_context.send(
+        host,
+        membership::HostIntroduction{
+          .m_hosts = {
+            { aNewcomer, std::string(m_context.m_membership.dataCentreOf(aNewcomer)) } } });
+    }
+  }
+  if (!known.m_hosts.empty()) {
+    m_context.send(aNewcomer, std::move(known));
+  }
+}
+
+void
+Node::receive(TimePoint aNow, HostId, const mapping::MapDelta& aDelta)
+{
+  ServiceState* service = m_context.findService(aDelta.m_service);
+  if (service != nullptr) {
+    m_keeper.adopt(aNow, *service, aDelta.m_groups);
+    return;
+  }
+  if (!aDelta.m_isWhole || !m_context.m_settings) {
+    return;
+  }
+  for (const settings::Service& known : m_context.m_settings->m_services) {
+    if (known.m_id != aDelta.m_service) {
+      continue;
+    }
+    // The map's own size counts: the settings may have been edited since the service began.
+    size_t buckets = 0;
+    for (const mapping::BucketGroup& group : aDelta.m_groups) {
+      buckets += group.m_buckets.size();
+    }
+    std::vector<mapping::Bucket> expanded = mapping::expandWhole(aDelta, buckets);
+    if (std::has_single_bit(expanded.size())) {
+      addService(known, std::move(expanded));
+      m_path.rebuildIndex();
+    }
+  }
+}
+
+void
+Node::receive(TimePoint, HostId aFrom, const mapping::MapRequest& aRequest)
+{
+  if (!m_context.m_membership.isEstablished()) {
+    return;
+  }
+  for (const auto& [id, service] : m_context.m_services) {
+    const bool isAsked = aRequest.m_services.empty() ||
+                         std::ranges::find(aRequest.m_services, id) != aRequest.m_services.end();
+    if (!isAsked) {
+      continue;
+    }
+    m_context.send(aFrom, mapping::wholeMap(id, service->m_map));
+    for (const auto& [upstream, mode] : service->m_modes) {
+      m_context.send(aFrom, mode);
+    }
+  }
+  if (aRequest.m_services.empty()) {
+    m_context.send(aFrom, summary());
+  }
+}
+
+void
+Node::receive(TimePoint aNow, HostId aFrom, const mapping::MapSummary& aSummary)
+{
+  if (!m_context.m_membership.isEstablished()) {
+    if (!m_context.m_settings) {
+      return;
+    }
+    // The end of the answer to this host's request for all maps.
+    computeMissingMaps(aNow);
+    m_context.m_membership.setEstablished(true);
+    m_context.m_events.add(aNow, EventId::MapAdopted, "from host " + formatHost(aFrom));
+    return;
+  }
+  mapping::MapRequest request;
+  for (const mapping::MapSummary::Entry& entry : aSummary.m_entries) {
+    const ServiceState* service = m_context.findService(entry.m_service);
+    if (service == nullptr || service->m_map.digest() == entry.m_digest) {
+      continue;
+    }
+    request.m_services.push_back(entry.m_service);
+    m_context.send(aFrom, mapping::wholeMap(entry.m_service, service->m_map));
+    for (const auto& [upstream, mode] : service->m_modes) {
+      m_context.send(aFrom, mode);
+    }
+  }
+  if (!request.m_services.empty()) {
+    m_context.send(aFrom, std::move(request));
+  }
+}
+
+void
+Node::receive(TimePoint aNow, HostId, const mapping::PinBatch& aBatch)
+{
+  m_owner.onPins(aNow, aBatch);
+}
+
+void
+Node::receive(TimePoint aNow, HostId, const mapping::BucketReport& aReport)
+{
+  m_decider.onBucketReport(aNow, aReport);
+}
+
+void
+Node::receive(TimePoint aNow, HostId, const admission::UpstreamReport& aReport)
+{
+  m_decider.onUpstreamReport(aNow, aReport);
+}
+
+void
+Node::receive(TimePoint, HostId, const admission::ModeUpdate& aUpdate)
+{
+  ServiceState* service = m_context.findService(aUpdate.m_service);
+  if (service == nullptr || service->find(aUpdate.m_upstream) == nullptr) {
+    return;
+  }
+  admission::ModeUpdate& held = service->m_modes[aUpdate.m_upstream];
+  const bool setBySettings = held.m_cold && !held.m_decider;
+  if (setBySettings && aUpdate.m_settingsRevision < held.m_settingsRevision) {
+    return;
+  }
+  if (std::tie(aUpdate.m_counter, aUpdate.m_decider) > std::tie(held.m_counter, held.m_decider)) {
+    held = aUpdate;
+  }
+}
+
+void
+Node::receive(TimePoint aNow, HostId aFrom, const admission::GrantRequest& aRequest)
+{
+  m_decider.onGrantRequest(aNow, aFrom, aRequest);
+}
+
+void
+Node::receive(TimePoint aNow, HostId, const admission::Grant& aGrant)
+{
+  m_owner.onGrant(aNow, aGrant);
+}
+
+void
+Node::receive(TimePoint, HostId, const membership::HostIntroduction& aIntroduction)
+{
+  m_context.m_membership.addContacts(aIntroduction.m_hosts);
+}
+
+std::vector<OutgoingFrame>
+Node::takeFrames(TimePoint aNow)
+{
+  std::vector<OutgoingFrame> frames;
+  const bool isTick = std::exchange(m_sendsHeartbeats, false);
+  std::vector<HostId> due;
+  for (const auto& [host, peer] : m_context.m_membership.peers()) {
+    const Channel& channel = m_context.m_channels[host];
+    const Millis interval = peer.m_alive ? membership::kHeartbeatInterval : kGreetInterval;
+    const bool isDue = isTick && aNow - m_framedAt[host] >= interval;
+    const bool owesAck = isTick && channel.owesAck();
+    if (isDue || owesAck || (peer.m_alive && channel.hasNew())) {
+      due.push_back(host);
+    }
+  }
+  for (const HostId host : due) {
+    frames.push_back(makeFrame(aNow, host));
+  }
+  return frames;
+}
+
+OutgoingFrame
+Node::makeFrame(TimePoint aNow, HostId aPeer)
+{
+  Channel& channel = m_context.m_channels[aPeer];
+  OutgoingFrame outgoing{ .m_to = aPeer };
+  membership::Heartbeat& heartbeat = outgoing.m_frame.m_heartbeat;
+  heartbeat = m_context.m_membership.makeHeartbeat(aNow, aPeer);
+  heartbeat.m_left = m_left;
+  if (m_context.m_settings) {
+    heartbeat.m_settingsRevision = m_context.m_settings->m_revision;
+  }
+  heartbeat.m_settingsAge = aNow - m_context.m_settingsConfirmedAt;
+  heartbeat.m_mapDigest = mapDigest();
+  if (!m_path.isHeld()) {
+    for (const auto& [id, service] : m_context.m_services) {
+      const bool isDecider = m_context.m_membership.deciderOf(id) == aPeer;
+      if (isDecider && m_context.m_membership.castVote(aNow, id, aPeer)) {
+        heartbeat.m_votes.push_back(id);
+      }
+    }
+  }
+  outgoing.m_frame.m_bodies = channel.takeDue(aNow);
+  heartbeat.m_channelEpoch = channel.epoch();
+  heartbeat.m_channelLast = channel.last();
+  heartbeat.m_ackEpoch = channel.peerEpoch();
+  heartbeat.m_ack = channel.received();
+  channel.ackSent();
+  m_framedAt[aPeer] = aNow;
+  return outgoing;
+}
+
+mapping::MapSummary
+Node::summary() const
+{
+  mapping::MapSummary summary;
+  for (const auto& [id, service] : m_context.m_services) {
+    summary.m_entries.push_back({ id, service->m_map.digest() });
+  }
+  return summary;
+}
+
+void
+Node::reconcileMaps(TimePoint aNow)
+{
+  const uint64_t digest = mapDigest();
+  if (digest != m_lastDigest) {
+    m_lastDigest = digest;
+    m_digestSince = aNow;
+  }
+  if (aNow - m_reconciledAt < kReconcileInterval || aNow - m_digestSince < kReconcileAfter) {
+    return;
+  }
+  m_reconciledAt = aNow;
+  const HostId self = m_context.m_membership.self();
+  for (const auto& [host, peer] : m_context.m_membership.peers()) {
+    const bool differs = peer.m_alive && peer.m_established && peer.m_mapDigest != digest;
+    if (differs && self < host && aNow - peer.m_digestSince >= kReconcileAfter) {
+      m_context.send(host, summary());
+    }
+  }
+}
+
+} // namespace tamarack::node
--- /dev/null
+++ b/lib/node/OwnerDuty.cpp
@@ -0,0 +1,355 @@
+// Pins of owned buckets: copies, hand-over, expiry and settling.
+#include "node/OwnerDuty.h"
+
+#include <algorithm>
+#include <map>
+
+namespace tamarack::node {
+
+namespace {
+
+using mapping::Bucket;
+using mapping::Phase;
+using mapping::Pin;
+using mapping::PinBatch;
+
+constexpr Millis kSweepInterval{ 1000 };
+/// Copies of learned flows need this long to reach the replica before a move is reported settled.
+constexpr Millis kSettleDelay{ 1500 };
+
+} // namespace
+
+void
+OwnerDuty::tick(TimePoint aNow)
+{
+  const bool sweep = aNow - m_sweptAt >= kSweepInterval;
+  for (auto& [id, service] : m_context.m_services) {
+    copyPins(*service);
+    askForGrants(aNow, *service);
+    if (sweep) {
+      endIdlePins(aNow, *service);
+      reportSettled(aNow, *service);
+    }
+  }
+  if (sweep) {
+    m_sweptAt = aNow;
+  }
+}
+
+void
+OwnerDuty::copyPins(ServiceState& aService)
+{
+  std::map<uint16_t, PinBatch> batches;
+  const size_t count = std::min(aService.m_dirtyPins.size(), kPinsPerTick);
+  const HostId self = m_context.m_membership.self();
+  for (size_t index = 0; index < count; ++index) {
+    const FlowId flow = aService.m_dirtyPins[index];
+    Pin* pin = aService.m_pins.find(flow);
+    if (pin == nullptr || pin->m_replicated) {
+      continue;
+    }
+    pin->m_replicated = true;
+    pin->m_learned = false;
+    const Bucket& bucket = aService.m_map[pin->m_bucket];
+    if (bucket.m_owner == self && bucket.m_replica) {
+      batches[pin->m_bucket].m_pins.push_back({ flow, pin->m_upstream });
+    }
+  }
+  aService.m_dirtyPins.erase(aService.m_dirtyPins.begin(),
+                             aService.m_dirtyPins.begin() + static_cast<ptrdiff_t>(count));
+  for (const auto& [bucket, flow] : aService.m_removedPins) {
+    if (aService.m_map[bucket].m_owner == self && aService.m_map[bucket].m_replica) {
+      batches[bucket].m_removed.push_back(flow);
+    }
+  }
+  aService.m_removedPins.clear();
+  for (auto& [bucket, batch] : batches) {
+    batch.m_service = aService.id();
+    batch.m_bucket = bucket;
+    m_context.send(aService.m_map[bucket].m_replica, std::move(batch));
+  }
+}
+
+void
+OwnerDuty::endIdlePins(TimePoint aNow, ServiceState& aService)
+{
+  const HostId self = m_context.m_membership.self();
+  aService.m_pins.eraseIf([&](FlowId aFlow, const Pin& aPin) {
+    const Bucket& bucket = aService.m_map[aPin.m_bucket];
+    const bool isIdle = aNow - aPin.m_lastSeen > aService.m_settings.m_idleTimeout;
+    if (bucket.m_owner != self || !isIdle) {
+      return false;
+    }
+    if (aPin.m_replicated) {
+      aService.m_removedPins.emplace_back(aPin.m_bucket, aFlow);
+    }
+    return true;
+  });
+}
+
+bool
+OwnerDuty::canSettle(TimePoint aNow, const ServiceState& aService, uint16_t aBucket) const
+{
+  const Bucket& bucket = aService.m_map[aBucket];
+  const OwnedBucket& owned = aService.m_owned[aBucket];
+  if (bucket.m_phase != Phase::Moving || owned.m_overflowed) {
+    return false;
+  }
+  if (aService.modeOf(bucket.m_current) != admission::Mode::Open) {
+    return false;
+  }
+  const Millis needed = aService.isLive(bucket.m_base)
+                          ? aService.m_settings.m_idleTimeout + kSweepInterval
+                          : kDeadBaseSettle;
+  return aNow - owned.m_learningSince > needed;
+}
+
+void
+OwnerDuty::startSettling(TimePoint aNow, ServiceState& aService, std::span<const bool> aBuckets)
+{
+  for (size_t bucket = 0; bucket < aBuckets.size(); ++bucket) {
+    if (aBuckets[bucket]) {
+      aService.m_owned[bucket].m_settling = true;
+      aService.m_owned[bucket].m_settlingSince = aNow;
+    }
+  }
+  aService.m_pins.forEach([&](FlowId aFlow, const Pin& aPin) {
+    if (aBuckets[aPin.m_bucket] && aPin.m_learned) {
+      aService.m_dirtyPins.push_back(aFlow);
+    }
+  });
+}
+
+void
+OwnerDuty::reportSettled(TimePoint aNow, ServiceState& aService)
+{
+  const HostId self = m_context.m_membership.self();
+  const size_t buckets = aService.m_map.size();
+  std::vector<uint32_t> pins(buckets);
+  std::vector<uint32_t> missing(buckets);
+  aService.m_pins.forEach([&](FlowId, const Pin& aPin) {
+    ++pins[aPin.m_bucket];
+    missing[aPin.m_bucket] += aPin.m_replicated ? 0 : 1;
+  });
+  mapping::BucketReport report{ .m_service = aService.id() };
+  const auto starts = std::make_unique<bool[]>(buckets);
+  bool anyStarts = false;
+  for (size_t index = 0; index < buckets; ++index) {
+    const auto bucketIndex = static_cast<uint16_t>(index);
+    const Bucket& bucket = aService.m_map[index];
+    if (bucket.m_owner != self) {
+      continue;
+    }
+    const OwnedBucket& owned = aService.m_owned[index];
+    const bool isEmpty = bucket.m_phase == Phase::Pinned && pins[index] == 0;
+    const bool mayEnd = canSettle(aNow, aService, bucketIndex);
+    if (mayEnd && !owned.m_settling) {
+      starts[index] = true;
+      anyStarts = true;
+    }
+    const bool isCopied =
+      owned.m_settling && missing[index] == 0 && aNow - owned.m_settlingSince >= kSettleDelay;
+    if (isEmpty || (mayEnd && isCopied)) {
+      report.m_settled.push_back(bucketIndex);
+      report.m_counters.push_back(bucket.m_stamp.m_counter);
+    }
+  }
+  if (anyStarts) {
+    startSettling(aNow, aService, { starts.get(), buckets });
+  }
+  const HostId decider = m_context.m_membership.deciderOf(aService.id());
+  if (!report.m_settled.empty() && decider) {
+    m_context.send(decider, std::move(report));
+  }
+}
+
+void
+OwnerDuty::askForGrants(TimePoint aNow, ServiceState& aService)
+{
+  const HostId decider = m_context.m_membership.deciderOf(aService.id());
+  if (!decider) {
+    return;
+  }
+  for (auto& [upstream, purse] : aService.m_purses) {
+    const uint32_t wanted = purse.takeDemand(aNow);
+    if (wanted > 0) {
+      m_context.send(decider,
+                     admission::GrantRequest{ .m_service = aService.id(),
+                                              .m_upstream = upstream,
+                                              .m_wanted = wanted,
+                                              .m_askedAt = aNow });
+    }
+  }
+}
+
+void
+OwnerDuty::onGrant(TimePoint aNow, const admission::Grant& aGrant)
+{
+  ServiceState* service = m_context.findService(aGrant.m_service);
+  if (service == nullptr) {
+    return;
+  }
+  if (aGrant.m_count == 0) {
+    service->m_deniedAt[aGrant.m_upstream] = aNow;
+    return;
+  }
+  service->m_purses[aGrant.m_upstream].add(aGrant);
+}
+
+void
+OwnerDuty::onBucketsChanged(TimePoint aNow,
+                            ServiceState& aService,
+                            std::span<const BucketChange> aChanges)
+{
+  const HostId self = m_context.m_membership.self();
+  handOver(aService, aChanges);
+  for (const BucketChange& change : aChanges) {
+    const Bucket& bucket = aService.m_map[change.m_bucket];
+    OwnedBucket& owned = aService.m_owned[change.m_bucket];
+    if (bucket.m_owner != self) {
+      owned = {};
+      continue;
+    }
+    const Bucket& before = change.m_before;
+    const bool isNewOwner = before.m_owner != self;
+    if (isNewOwner) {
+      owned = { .m_ownedSince = aNow, .m_learningSince = aNow };
+      const bool hadOwner = before.m_phase != Phase::Stable && before.m_owner;
+      if (hadOwner && m_context.m_membership.isReachable(before.m_owner)) {
+        owned.m_handoverUntil = aNow + kHandoverWait;
+      }
+    }
+    const bool restartsLearning = before.m_base != bucket.m_base || before.m_phase == Phase::Pinned;
+    if (restartsLearning) {
+      owned.m_learningSince = aNow;
+    }
+    if (restartsLearning || bucket.m_phase != Phase::Moving) {
+      owned.m_settling = false;
+      owned.m_overflowed = false;
+    }
+  }
+  prunePins(aNow, aService, aChanges);
+}
+
+void
+OwnerDuty::handOver(ServiceState& aService, std::span<const BucketChange> aChanges)
+{
+  const HostId self = m_context.m_membership.self();
+  std::map<uint16_t, PinBatch> batches;
+  for (const BucketChange& change : aChanges) {
+    const Bucket& bucket = aService.m_map[change.m_bucket];
+    if (change.m_before.m_owner == self && bucket.m_owner != self && bucket.m_owner) {
+      batches[change.m_bucket] = { .m_service = aService.id(),
+                                   .m_bucket = change.m_bucket,
+                                   .m_handoverDone = true };
+    }
+  }
+  if (batches.empty()) {
+    return;
+  }
+  aService.m_pins.forEach([&](FlowId aFlow, const Pin& aPin) {
+    const auto batch = batches.find(aPin.m_bucket);
+    if (batch != batches.end()) {
+      batch->second.m_pins.push_back({ aFlow, aPin.m_upstream });
+    }
+  });
+  for (auto& [bucket, batch] : batches) {
+    m_context.send(aService.m_map[bucket].m_owner, std::move(batch));
+  }
+}
+
+void
+OwnerDuty::prunePins(TimePoint aNow, ServiceState& aService, std::span<const BucketChange> aChanges)
+{
+  const HostId self = m_context.m_membership.self();
+  std::map<uint16_t, const BucketChange*> changes;
+  for (const BucketChange& change : aChanges) {
+    changes.emplace(change.m_bucket, &change);
+  }
+  aService.m_pins.eraseIf([&](FlowId aFlow, Pin& aPin) {
+    const auto found = changes.find(aPin.m_bucket);
+    if (found == changes.end()) {
+      return false;
+    }
+    const Bucket& bucket = aService.m_map[aPin.m_bucket];
+    const Bucket& before = found->second->m_before;
+    const bool isMine = bucket.m_owner == self;
+    if (bucket.m_phase == Phase::Stable || (!isMine && bucket.m_replica != self)) {
+      return true;
+    }
+    if (bucket.m_phase == Phase::Pinned && aPin.m_upstream == bucket.m_base) {
+      return true;
+    }
+    if (isMine && before.m_owner != self) {
+      aPin.m_lastSeen = aNow;
+    }
+    const bool needsCopy = isMine && bucket.m_replica != before.m_replica;
+    if (needsCopy && !aPin.m_learned) {
+      aPin.m_replicated = false;
+      aService.m_dirtyPins.push_back(aFlow);
+    }
+    return false;
+  });
+}
+
+void
+OwnerDuty::onPins(TimePoint aNow, const PinBatch& aBatch)
+{
+  ServiceState* service = m_context.findService(aBatch.m_service);
+  if (service == nullptr || aBatch.m_bucket >= service->m_map.size()) {
+    return;
+  }
+  const Bucket& bucket = service->m_map[aBatch.m_bucket];
+  const bool isMine = bucket.m_owner == m_context.m_membership.self();
+  for (const mapping::FlowPin& pin : aBatch.m_pins) {
+    if (isMine && service->m_pins.find(pin.m_flow) != nullptr) {
+      continue;
+    }
+    if (isMine && bucket.m_phase == Phase::Pinned && pin.m_upstream == bucket.m_base) {
+      continue;
+    }
+    const Pin kept{ .m_upstream = pin.m_upstream, .m_lastSeen = aNow, .m_bucket = aBatch.m_bucket };
+    if (service->m_pins.put(pin.m_flow, kept) != nullptr && isMine) {
+      service->m_dirtyPins.push_back(pin.m_flow);
+    }
+  }
+  for (const FlowId flow : aBatch.m_removed) {
+    if (!isMine) {
+      service->m_pins.erase(flow);
+    }
+  }
+  if (aBatch.m_handoverDone) {
+    service->m_owned[aBatch.m_bucket].m_handoverUntil = {};
+  }
+}
+
+void
+OwnerDuty::onReplicaRestarted(HostId aHost)
+{
+  const HostId self = m_context.m_membership.self();
+  for (auto& [id, service] : m_context.m_services) {
+    service->m_pins.forEach([&](FlowId aFlow, Pin& aPin) {
+      const Bucket& bucket = service->m_map[aPin.m_bucket];
+      if (bucket.m_owner == self && bucket.m_replica == aHost && aPin.m_replicated) {
+        aPin.m_replicated = false;
+        service->m_dirtyPins.push_back(aFlow);
+      }
+    });
+  }
+}
+
+bool
+OwnerDuty::hasNothingToHandOver() const
+{
+  const HostId self = m_context.m_membership.self();
+  for (const auto& [id, service] : m_context.m_services) {
+    for (const Bucket& bucket : service->m_map.buckets()) {
+      if (bucket.m_owner == self) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace tamarack::node
--- /dev/null
+++ b/lib/node/PacketPath.cpp
@@ -0,0 +1,366 @@
+// The decision about a packet, from the cheap case to the rare ones.
+#include "node/PacketPath.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace tamarack::node {
+
+namespace {
+
+using admission::Mode;
+using mapping::Bucket;
+using mapping::Phase;
+using mapping::Pin;
+
+/// A refused grant speaks for this long.
+constexpr Millis kDenialLife{ 1000 };
+
+uint64_t
+indexKey(Ipv4 aAddress, uint16_t aPort, packet::Protocol aProtocol)
+{
+  return (uint64_t{ aAddress.m_value } << 32U) | (uint64_t{ aPort } << 8U) |
+         static_cast<uint64_t>(aProtocol);
+}
+
+} // namespace
+
+void
+PacketPath::rebuildIndex()
+{
+  m_index.clear();
+  for (const auto& [id, service] : m_context.m_services) {
+    const settings::Service& known = service->m_settings;
+    for (const uint16_t port : known.m_ports) {
+      m_index[indexKey(known.m_address, port, known.m_protocol)] = service.get();
+    }
+  }
+}
+
+const ServiceState*
+PacketPath::serviceOf(const packet::FlowKey& aFlow) const
+{
+  const auto found =
+    m_index.find(indexKey(aFlow.m_destination, aFlow.m_destinationPort, aFlow.m_protocol));
+  return found == m_index.end() ? nullptr : found->second;
+}
+
+Decision
+PacketPath::decide(TimePoint aNow, const Arrival& aArrival)
+{
+  const packet::PacketMeta& meta = aArrival.m_meta;
+  const auto found = m_index.find(
+    indexKey(meta.m_flow.m_destination, meta.m_flow.m_destinationPort, meta.m_flow.m_protocol));
+  if (m_held) {
+    return { .m_error = ErrorKind::DecisionsHeld };
+  }
+  if (found == m_index.end()) {
+    return { .m_error = ErrorKind::NoSuchService };
+  }
+  ServiceState& service = *found->second;
+  Flow flow{ .m_id = packet::flowId(meta.m_flow, m_context.m_settings->m_seed),
+             .m_opens = meta.m_opensFlow,
+             .m_ends = meta.m_endsFlow };
+  flow.m_bucket = service.m_map.indexOf(flow.m_id);
+  if (aArrival.m_relayedFor && aArrival.m_relayedFor != service.id()) {
+    return refuse(service, flow, ErrorKind::ServiceMismatch);
+  }
+  if (aArrival.m_hops > kMaxHops) {
+    return refuse(service, flow, ErrorKind::PacketLooping);
+  }
+  if (!m_context.m_membership.isEstablished()) {
+    const HostId helper = helperFor(flow.m_bucket);
+    return helper && aArrival.m_hops == 0 ? relay(service, flow, helper)
+                                          : refuse(service, flow, ErrorKind::DecisionsHeld);
+  }
+  const Bucket& bucket = service.m_map[flow.m_bucket];
+  if (bucket.m_phase == Phase::Stable) {
+    return decideStable(aNow, aArrival, service, flow);
+  }
+  if (bucket.m_owner == m_context.m_membership.self()) {
+    return decideAsOwner(aNow, aArrival, service, flow);
+  }
+  return sendToOwner(aNow, aArrival, service, flow);
+}
+
+Decision
+PacketPath::decideStable(TimePoint aNow,
+                         const Arrival& aArrival,
+                         ServiceState& aService,
+                         Flow aFlow)
+{
+  const membership::Membership& members = m_context.m_membership;
+  if (aArrival.m_hops == 0 && !members.hasLease(members.deciderOf(aService.id()), aNow)) {
+    const HostId helper = helperFor(aFlow.m_bucket);
+    if (helper) {
+      return relay(aService, aFlow, helper);
+    }
+  }
+  const UpstreamId base = aService.m_map[aFlow.m_bucket].m_base;
+  if (aFlow.m_opens && !aService.isLive(base)) {
+    return waitOrRefuse(aArrival, aService, aFlow, ErrorKind::MovePending);
+  }
+  return forward(aNow, aService, aFlow, base);
+}
+
+Decision
+PacketPath::sendToOwner(TimePoint aNow, const Arrival& aArrival, ServiceState& aService, Flow aFlow)
+{
+  const Bucket& bucket = aService.m_map[aFlow.m_bucket];
+  const membership::Membership& members = m_context.m_membership;
+  for (const HostId host : { bucket.m_owner, bucket.m_replica }) {
+    if (host != members.self() && members.isReachable(host)) {
+      return relay(aService, aFlow, host);
+    }
+    if (host == members.self()) {
+      break;
+    }
+  }
+  // Owner (and replica, unless it is this host) are lost and not replaced yet.
+  Pin* pin = aService.m_pins.find(aFlow.m_id);
+  if (pin != nullptr && !aFlow.m_opens) {
+    return forward(aNow, aService, aFlow, pin->m_upstream);
+  }
+  if (aFlow.m_opens && bucket.m_phase != Phase::Pinned) {
+    return waitOrRefuse(aArrival, aService, aFlow, ErrorKind::OwnerUnknown);
+  }
+  return forward(aNow, aService, aFlow, bucket.m_base);
+}
+
+Decision
+PacketPath::decideAsOwner(TimePoint aNow,
+                          const Arrival& aArrival,
+                          ServiceState& aService,
+                          Flow aFlow)
+{
+  const Bucket& bucket = aService.m_map[aFlow.m_bucket];
+  const OwnedBucket& owned = aService.m_owned[aFlow.m_bucket];
+  Pin* pin = aService.m_pins.find(aFlow.m_id);
+  const bool reopens = pin != nullptr && aFlow.m_opens && aNow - pin->m_lastSeen > kReopenAfter;
+  const bool upstreamLost = pin != nullptr && aFlow.m_opens && !aService.isLive(pin->m_upstream);
+  if (pin != nullptr && !reopens && !upstreamLost) {
+    return decideKnown(aNow, aService, aFlow, *pin);
+  }
+  if (aNow < owned.m_handoverUntil) {
+    return aFlow.m_opens ? waitOrRefuse(aArrival, aService, aFlow, ErrorKind::OwnerUnknown)
+                         : refuse(aService, aFlow, ErrorKind::OwnerUnknown);
+  }
+  // A datagram flow has no opening packet: once every running flow is known, an unknown one is new.
+  const bool isDatagram = aService.m_settings.m_protocol == packet::Protocol::Udp;
+  const bool allKnown =
+    !owned.m_overflowed && aNow - owned.m_learningSince > aService.m_settings.m_idleTimeout;
+  if (isDatagram && allKnown) {
+    aFlow.m_opens = true;
+  }
+  if (!aFlow.m_opens) {
+    return decideRunning(aNow, aService, aFlow);
+  }
+  if (bucket.m_phase == Phase::Pinned) {
+    aService.m_pins.erase(aFlow.m_id);
+    return forward(aNow, aService, aFlow, bucket.m_base);
+  }
+  return admit(aNow, aArrival, aService, aFlow);
+}
+
+Decision
+PacketPath::decideKnown(TimePoint aNow, ServiceState& aService, Flow aFlow, Pin& aPin)
+{
+  aPin.m_lastSeen = aNow;
+  if (aFlow.m_ends) {
+    aPin.m_lastSeen = aNow - aService.m_settings.m_idleTimeout + kLinger;
+  }
+  return forward(aNow, aService, aFlow, aPin.m_upstream);
+}
+
+Decision
+PacketPath::decideRunning(TimePoint aNow, ServiceState& aService, Flow aFlow)
+{
+  const Bucket& bucket = aService.m_map[aFlow.m_bucket];
+  if (aNow < m_context.m_healingUntil && bucket.m_phase != Phase::Stable) {
+    return refuse(aService, aFlow, ErrorKind::OwnerUnknown);
+  }
+  const bool learns = bucket.m_phase != Phase::Pinned && !aFlow.m_ends;
+  if (learns && aService.isLive(bucket.m_base)) {
+    const size_t room = aService.m_pins.capacity() * kLearnedPercent / 100;
+    const Pin pin{
+      .m_upstream = bucket.m_base, .m_lastSeen = aNow, .m_bucket = aFlow.m_bucket, .m_learned = true
+    };
+    const bool kept =
+      aService.m_pins.size() < room && aService.m_pins.put(aFlow.m_id, pin) != nullptr;
+    aService.m_owned[aFlow.m_bucket].m_overflowed |= !kept;
+    if (kept && aService.m_owned[aFlow.m_bucket].m_settling) {
+      aService.m_dirtyPins.push_back(aFlow.m_id);
+    }
+  }
+  return forward(aNow, aService, aFlow, bucket.m_base);
+}
+
+Decision
+PacketPath::admit(TimePoint aNow, const Arrival& aArrival, ServiceState& aService, Flow aFlow)
+{
+  const Bucket& bucket = aService.m_map[aFlow.m_bucket];
+  if (bucket.m_phase == Phase::Prepare) {
+    // Hosts that have not heard of the move would send the rest of the flow to base.
+    pinFlow(aNow, aService, aFlow, bucket.m_base);
+    return forward(aNow, aService, aFlow, bucket.m_base);
+  }
+  const UpstreamId upstream = chooseUpstream(aNow, aService, aFlow);
+  if (!upstream) {
+    return answerNoCapacity(aNow, aArrival, aService, aFlow);
+  }
+  if (!pinFlow(aNow, aService, aFlow, upstream)) {
+    // Without a pin only base can serve the flow to its end.
+    if (aService.modeOf(bucket.m_base) != Mode::Open) {
+      return refuse(aService, aFlow, ErrorKind::NoCapacity);
+    }
+    return forward(aNow, aService, aFlow, bucket.m_base);
+  }
+  return forward(aNow, aService, aFlow, upstream);
+}
+
+Decision
+PacketPath::answerNoCapacity(TimePoint aNow,
+                             const Arrival& aArrival,
+                             const ServiceState& aService,
+                             Flow aFlow) const
+{
+  const UpstreamId current = aService.m_map[aFlow.m_bucket].m_current;
+  const auto denied = aService.m_deniedAt.find(current);
+  const bool isDenied = denied != aService.m_deniedAt.end() && aNow - denied->second < kDenialLife;
+  if (aService.modeOf(current) == Mode::Metered && !isDenied) {
+    return waitOrRefuse(aArrival, aService, aFlow, ErrorKind::GrantPending);
+  }
+  if (aNow - aService.m_owned[aFlow.m_bucket].m_ownedSince < kRefusalGrace) {
+    return refuse(aService, aFlow, ErrorKind::GrantPending);
+  }
+  return refuse(aService, aFlow, ErrorKind::NoCapacity);
+}
+
+UpstreamId
+PacketPath::chooseUpstream(TimePoint aNow, ServiceState& aService, Flow aFlow)
+{
+  const Bucket& bucket = aService.m_map[aFlow.m_bucket];
+  if (mayAdmit(aNow, aService, bucket.m_current)) {
+    return bucket.m_current;
+  }
+  if (bucket.m_base != bucket.m_current && aService.modeOf(bucket.m_base) == Mode::Open) {
+    return bucket.m_base;
+  }
+  std::vector<UpstreamId> open;
+  for (const settings::Upstream& upstream : aService.m_settings.m_upstreams) {
+    if (aService.modeOf(upstream.m_id) == Mode::Open) {
+      open.push_back(upstream.m_id);
+    }
+  }
+  if (!open.empty()) {
+    return pickByRendezvous(aFlow.m_id.m_value, open);
+  }
+  for (const settings::Upstream& upstream : aService.m_settings.m_upstreams) {
+    if (upstream.m_id != bucket.m_current && mayAdmit(aNow, aService, upstream.m_id)) {
+      return upstream.m_id;
+    }
+  }
+  return {};
+}
+
+bool
+PacketPath::mayAdmit(TimePoint aNow, ServiceState& aService, UpstreamId aUpstream)
+{
+  switch (aService.modeOf(aUpstream)) {
+    case Mode::Open:
+      return true;
+    case Mode::Metered:
+      return aService.m_purses[aUpstream].spend(aNow);
+    case Mode::Closed:
+      return false;
+  }
+  return false;
+}
+
+bool
+PacketPath::pinFlow(TimePoint aNow, ServiceState& aService, Flow aFlow, UpstreamId aUpstream)
+{
+  const Pin pin{ .m_upstream = aUpstream, .m_lastSeen = aNow, .m_bucket = aFlow.m_bucket };
+  const bool kept = aService.m_pins.put(aFlow.m_id, pin) != nullptr;
+  if (kept) {
+    aService.m_dirtyPins.push_back(aFlow.m_id);
+    return true;
+  }
+  if (!aService.m_owned[aFlow.m_bucket].m_overflowed) {
+    aService.m_owned[aFlow.m_bucket].m_overflowed = true;
+    m_context.m_events.add(aNow, EventId::PinTableFull, "service " + aService.m_settings.m_name);
+  }
+  return false;
+}
+
+Decision
+PacketPath::forward(TimePoint aNow, ServiceState& aService, Flow aFlow, UpstreamId aUpstream)
+{
+  const UpstreamInfo* info = aService.find(aUpstream);
+  if (info == nullptr) {
+    return refuse(aService,
+                  aFlow,
+                  m_context.areSettingsBehind() ? ErrorKind::UpstreamUnconfirmed
+                                                : ErrorKind::UpstreamGone);
+  }
+  if (info->m_out) {
+    return refuse(aService, aFlow, ErrorKind::DataCentreOut);
+  }
+  if (!m_context.isSettingsFresh(aNow)) {
+    const auto confirmed = aService.m_confirmedAt.find(aUpstream);
+    if (confirmed == aService.m_confirmedAt.end() || aNow - confirmed->second > kConfirmationLife) {
+      return refuse(aService, aFlow, ErrorKind::UpstreamUnconfirmed);
+    }
+  }
+  return { .m_verdict = Verdict::Forward,
+           .m_service = aService.id(),
+           .m_bucket = aFlow.m_bucket,
+           .m_upstream = aUpstream,
+           .m_address = info->m_address };
+}
+
+Decision
+PacketPath::relay(const ServiceState& aService, Flow aFlow, HostId aHost) const
+{
+  return { .m_verdict = Verdict::Relay,
+           .m_service = aService.id(),
+           .m_bucket = aFlow.m_bucket,
+           .m_relayTo = aHost };
+}
+
+Decision
+PacketPath::refuse(const ServiceState& aService, Flow aFlow, ErrorKind aKind) const
+{
+  return { .m_verdict = Verdict::Refuse,
+           .m_error = aKind,
+           .m_service = aService.id(),
+           .m_bucket = aFlow.m_bucket };
+}
+
+Decision
+PacketPath::waitOrRefuse(const Arrival& aArrival,
+                         const ServiceState& aService,
+                         Flow aFlow,
+                         ErrorKind aKind) const
+{
+  Decision decision = refuse(aService, aFlow, aKind);
+  if (aArrival.m_attempts < kMaxAttempts) {
+    decision.m_verdict = Verdict::Retry;
+  }
+  return decision;
+}
+
+HostId
+PacketPath::helperFor(uint16_t aBucket) const
+{
+  std::vector<HostId> reachable;
+  for (const auto& [host, peer] : m_context.m_membership.peers()) {
+    if (peer.m_alive && peer.m_established) {
+      reachable.push_back(host);
+    }
+  }
+  return pickByRendezvous(aBucket, reachable);
+}
+
+} // namespace tamarack::node
--- /dev/null
+++ b/tests/TestMain.cpp
@@ -0,0 +1,3 @@
+// The entry point of every unit test program.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
