--- a/lib/node/Node.h
+++ b/lib/node/Node.h
@@ -70,6 +70,12 @@
 
   [[nodiscard]] Context& context() { return m_context; }
   [[nodiscard]] const Context& context() const { return m_context; }
+  [[nodiscard]] EventLog& events() { return m_context.m_events; }
+  /// The revision of the settings in force; zero before the first.
+  [[nodiscard]] settings::Revision revision() const
+  {
+    return m_context.m_settings ? m_context.m_settings->m_revision : 0;
+  }
   [[nodiscard]] const NodeCounters& counters() const { return m_counters; }
   [[nodiscard]] const PacketPath& path() const { return m_path; }
   [[nodiscard]] const DeciderDuty& decider() const { return m_decider; }
--- /dev/null
+++ b/lib/settings/Spreader.h
@@ -0,0 +1,136 @@
+// Brings published state to every host: a few readers of each data centre watch the platform, the
+// other hosts watch a reader. Everybody serves what it has accepted, so that a new host learns the
+// newest state from any peer while the platform is down. Decision code: it does no I/O.
+#pragma once
+
+#include "base/EventLog.h"
+#include "settings/Acceptor.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace tamarack::settings {
+
+/// A watch is answered after this long even when nothing changed.
+inline constexpr Millis kWatchTime{ 2000 };
+/// A watch without an answer for this long has failed.
+inline constexpr Millis kWatchDeadline{ 3000 };
+/// A source that failed rests at least this long; the rest doubles up to the most.
+inline constexpr Millis kLeastRest{ 500 };
+inline constexpr Millis kMostRest{ 8000 };
+/// Hosts of one data centre that watch the platform.
+inline constexpr size_t kReadersPerDataCentre = 2;
+/// Accepted forms that are kept to answer with a difference.
+inline constexpr size_t kKeptForms = 16;
+
+/// One entry of the published host list.
+struct HostEntry
+{
+  HostId m_host;
+  std::string m_dataCentre;
+  bool m_leaving{};
+};
+
+/// The published host list.
+struct HostList
+{
+  Revision m_revision{};
+  std::vector<HostEntry> m_hosts;
+};
+
+/// Reads `{"hosts": [{"address", "data_centre", "state": "live" | "leaving"}]}`.
+[[nodiscard]] absl::StatusOr<HostList>
+parseHostList(Revision aRevision, std::string_view aText);
+
+/// Where a watch goes: to the platform when the host is zero, else to that host.
+struct Source
+{
+  HostId m_host;
+
+  [[nodiscard]] bool isPlatform() const { return !m_host; }
+  friend auto operator<=>(const Source&, const Source&) = default;
+};
+
+/// What a watcher has already.
+struct WatchRequest
+{
+  Revision m_settings{};
+  Revision m_hosts{};
+};
+
+/// The platform's answer to a watch. A part that did not change is empty.
+struct PlatformAnswer
+{
+  Revision m_settingsRevision{};
+  std::optional<std::string> m_settings;
+  Revision m_hostsRevision{};
+  std::optional<std::string> m_hosts;
+};
+
+struct SpreaderOptions
+{
+  HostId m_self;
+  std::string m_dataCentre;
+  /// Hosts to ask before a host list is known.
+  std::vector<HostId> m_seeds;
+  /// Seeds the jitter of retries.
+  uint64_t m_seed{};
+};
+
+class Spreader
+{
+public:
+  Spreader(SpreaderOptions aOptions, EventLog& aEvents);
+
+  /// Watches to start now.
+  [[nodiscard]] std::vector<std::pair<Source, WatchRequest>> takeWatches(TimePoint aNow);
+  void onPlatformAnswer(TimePoint aNow, const PlatformAnswer& aAnswer);
+  /// `aAnswer` is what a peer's `answer` returned. Returns false when it was not usable.
+  bool onPeerAnswer(TimePoint aNow, HostId aPeer, std::string_view aAnswer);
+  void onFailure(TimePoint aNow, Source aSource);
+
+  /// Whether this host has something that the watcher lacks.
+  [[nodiscard]] bool hasNews(const WatchRequest& aRequest) const;
+  /// The answer to a watch: what changed, as a difference when one is smaller.
+  [[nodiscard]] std::string answer(TimePoint aNow, const WatchRequest& aRequest) const;
+
+  [[nodiscard]] const SettingsPtr& settings() const { return m_acceptor.settings(); }
+  [[nodiscard]] const AcceptedForm& form() const { return m_acceptor.form(); }
+  [[nodiscard]] const HostList& hosts() const { return m_hosts; }
+  [[nodiscard]] const std::vector<Fault>& faults() const { return m_faults; }
+  /// When the platform last confirmed the state, directly or through others, by our clock.
+  [[nodiscard]] TimePoint confirmedAt() const { return m_confirmedAt; }
+  [[nodiscard]] bool isReader() const;
+
+private:
+  struct SourceState
+  {
+    bool m_waiting{};
+    TimePoint m_askedAt;
+    TimePoint m_restUntil;
+    Millis m_rest{ kLeastRest };
+  };
+
+  [[nodiscard]] std::vector<HostId> readersOf(std::string_view aDataCentre) const;
+  [[nodiscard]] std::vector<Source> wantedSources(TimePoint aNow) const;
+  bool isUsable(TimePoint aNow, Source aSource) const;
+  void noteOutcome(TimePoint aNow, const AcceptOutcome& aOutcome);
+  void takeHosts(HostList aHosts);
+  void keepForm();
+
+  SpreaderOptions m_options;
+  EventLog& m_events;
+  Acceptor m_acceptor;
+  HostList m_hosts;
+  std::vector<Fault> m_faults;
+  TimePoint m_confirmedAt;
+  std::map<Source, SourceState> m_sources;
+  /// Former accepted forms, oldest first; at most kKeptForms.
+  std::deque<std::pair<Revision, Json>> m_forms;
+  std::mt19937_64 m_random;
+};
+
+} // namespace tamarack::settings
