[node] Deliver the bodies that a host sends to itself

Ruled out: missing copies of pins (none missing) and a full pin table (no overflow). Change: Context::send keeps bodies to this host and Node delivers them. The session's uneven settings delay acceptance once instead of once a hop.

--- a/lib/node/Context.h
+++ b/lib/node/Context.h
@@ -20,8 +20,16 @@
   {
   }
 
-  /// Queues a body for a peer.
-  channel::Ticket send(HostId aTo, Body aBody) { return m_channels[aTo].send(std::move(aBody)); }
+  /// Queues a body for a peer, or for this host itself: duties address each other alike wherever
+  /// they run.
+  channel::Ticket send(HostId aTo, Body aBody)
+  {
+    if (aTo == m_membership.self()) {
+      m_toSelf.push_back(std::move(aBody));
+      return {};
+    }
+    return m_channels[aTo].send(std::move(aBody));
+  }
 
   /// Queues a body for every alive peer.
   void broadcast(const Body& aBody)
@@ -58,6 +66,8 @@
   EventLog m_events;
   membership::Membership m_membership;
   std::map<HostId, Channel> m_channels;
+  /// Bodies from this host's duties to its own; Node delivers them before its call returns.
+  std::vector<Body> m_toSelf;
   settings::SettingsPtr m_settings;
   TimePoint m_settingsConfirmedAt;
   ServiceTable m_services;
--- a/lib/node/Node.cpp
+++ b/lib/node/Node.cpp
@@ -168,11 +168,9 @@
     // Another generation or service answers at the address.
     service->m_confirmedAt.erase(aReport.m_upstream);
   }
-  const HostId decider = m_context.m_membership.deciderOf(aReport.m_service);
-  if (decider == m_context.m_membership.self()) {
-    m_decider.onUpstreamReport(aNow, aReport);
-  } else if (decider) {
+  if (const HostId decider = m_context.m_membership.deciderOf(aReport.m_service)) {
     m_context.send(decider, aReport);
+    deliverToSelf(aNow);
   }
 }
 
@@ -197,6 +195,7 @@
   }
   m_decider.tick(aNow);
   m_owner.tick(aNow);
+  deliverToSelf(aNow);
   reconcileMaps(aNow);
   advanceLeaving(aNow);
 }
--- a/lib/node/Node.h
+++ b/lib/node/Node.h
@@ -93,6 +93,8 @@
   void receive(TimePoint aNow, HostId aFrom, const admission::Grant& aGrant);
   void receive(TimePoint aNow, HostId aFrom, const membership::HostIntroduction& aIntroduction);
 
+  void deliver(TimePoint aNow, HostId aFrom, std::span<const Body> aBodies);
+  void deliverToSelf(TimePoint aNow);
   void onPeerOutcome(HostId aPeer, const membership::HeartbeatOutcome& aOutcome, TimePoint aNow);
   void onPeerLost(HostId aPeer);
   void renewLease(TimePoint aNow, const membership::Heartbeat& aHeartbeat, const Channel& aChannel);
--- a/lib/node/NodeMessages.cpp
+++ b/lib/node/NodeMessages.cpp
@@ -41,10 +41,8 @@
     m_synced.erase(from);
   }
   channel.onAck(heartbeat.m_ackEpoch, heartbeat.m_ack);
-  auto bodies = channel.receive(heartbeat.m_channelEpoch, std::move(aFrame.m_bodies));
-  for (const Body& body : bodies) {
-    std::visit([&](const auto& aBody) { receive(aNow, from, aBody); }, body);
-  }
+  deliver(aNow, from, channel.receive(heartbeat.m_channelEpoch, std::move(aFrame.m_bodies)));
+  deliverToSelf(aNow);
   const membership::Peer* peer = m_context.m_membership.find(from);
   const bool isNewest = peer != nullptr && peer->m_peerSentAt == heartbeat.m_sentAt;
   if (isNewest) {
@@ -56,6 +54,23 @@
   }
 }
 
+void
+Node::deliver(TimePoint aNow, HostId aFrom, std::span<const Body> aBodies)
+{
+  for (const Body& body : aBodies) {
+    std::visit([&](const auto& aBody) { receive(aNow, aFrom, aBody); }, body);
+  }
+}
+
+void
+Node::deliverToSelf(TimePoint aNow)
+{
+  while (!m_context.m_toSelf.empty()) {
+    const std::vector<Body> bodies = std::exchange(m_context.m_toSelf, {});
+    deliver(aNow, m_context.m_membership.self(), bodies);
+  }
+}
+
 void
 Node::onPeerOutcome(HostId aPeer, const membership::HeartbeatOutcome& aOutcome, TimePoint aNow)
 {
--- a/lib/session/Options.h
+++ b/lib/session/Options.h
@@ -33,7 +33,7 @@
   Spray m_spray{ Spray::Packet };
   double m_minutes{ 3 };
   /// Flows that run at the same time once the load is up.
-  size_t m_runningFlows{ 28'000 };
+  size_t m_runningFlows{ 33'000 };
   /// New flows a second beside the long feeds.
   size_t m_newFlowsPerSecond{ 60 };
   /// Prints the decisions about this flow to m_trace; zero for none.
--- a/lib/session/Session.cpp
+++ b/lib/session/Session.cpp
@@ -421,13 +421,13 @@
     const bool isStale = platform.m_isStale && m_random() % 2 == 0;
     const auto answer = platform.answer(watch.m_request, isStale);
     const size_t index = watch.m_host;
-    m_timeline.after(kPlatformDelay + m_hosts[index].m_settingsDelay, [this, index, answer] {
+    m_timeline.after(kPlatformDelay, [this, index, answer] {
       if (!canReachPlatform(index)) {
         return;
       }
       onHost(index, [this, index, answer] {
         m_hosts[index].m_spreader->onPlatformAnswer(m_timeline.now(), answer);
-        takeSettings(index);
+        takeSettingsLater(index);
       });
     });
   }
@@ -478,18 +478,30 @@
     peer.m_controlBytes += answer.size() + kFrameOverhead;
     const size_t watcher = host;
     const Millis delay = m_world.delay(peer.m_dataCentre, m_hosts[watcher].m_dataCentre);
-    m_timeline.after(delay + m_hosts[watcher].m_settingsDelay, [this, watcher, aPeer, answer] {
+    m_timeline.after(delay, [this, watcher, aPeer, answer] {
       if (!canTalk(aPeer, watcher)) {
         return;
       }
       onHost(watcher, [this, watcher, aPeer, answer] {
         m_hosts[watcher].m_spreader->onPeerAnswer(m_timeline.now(), m_hosts[aPeer].m_id, answer);
-        takeSettings(watcher);
+        takeSettingsLater(watcher);
       });
     });
   }
 }
 
+template<HostPolicy Policy>
+void
+Session<Policy>::takeSettingsLater(size_t aHost)
+{
+  if (m_hosts[aHost].m_settingsDelay == Millis{ 0 }) {
+    takeSettings(aHost);
+    return;
+  }
+  m_timeline.after(m_hosts[aHost].m_settingsDelay,
+                   [this, aHost] { onHost(aHost, [this, aHost] { takeSettings(aHost); }); });
+}
+
 template<HostPolicy Policy>
 void
 Session<Policy>::takeSettings(size_t aHost)
--- a/lib/session/Session.h
+++ b/lib/session/Session.h
@@ -71,7 +71,7 @@
   void leaveHost(size_t aHost);
   void pauseHost(size_t aHost, Millis aTime);
   void cutHost(size_t aHost, bool aIsCut);
-  /// Watches of the platform and of peers are answered this much later on each host.
+  /// Settings come into force on each host later by a time of its own, up to this.
   void delaySettings(Millis aMost);
   void publish();
   void publishHostList();
@@ -118,6 +118,7 @@
   void answerPlatformWatches();
   void answerPeerWatches(size_t aPeer);
   void takeSettings(size_t aHost);
+  void takeSettingsLater(size_t aHost);
   void sendPacket(uint32_t aFlow, PacketKind aKind);
   void arrive(size_t aHost, uint32_t aFlow, PacketKind aKind, node::Arrival aArrival);
   void carryOut(size_t aHost,
--- a/tools/tamarack-measure/Main.cpp
+++ b/tools/tamarack-measure/Main.cpp
@@ -24,7 +24,7 @@
   const char* m_policy = "tamarack";
   long m_seed = 1;
   int m_hosts = 8;
-  int m_flows = 28'000;
+  int m_flows = 33'000;
   int m_newFlows = 60;
   int m_trace = 0;
   int m_list = 0;
