--- /dev/null
+++ b/lib/daemon/HostConfig.cpp
@@ -0,0 +1,94 @@
+// Checked reading of the configuration file.
+#include "daemon/HostConfig.h"
+
+#include "settings/FieldReader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace tamarack::daemon {
+
+namespace {
+
+using settings::Fault;
+using settings::FieldReader;
+
+constexpr settings::Range kPorts{ 1, 65535 };
+
+HostPorts
+readPorts(const settings::Json& aJson, std::vector<Fault>& aFaults)
+{
+  FieldReader reader(aJson, "/ports", aFaults);
+  const auto port = [&](std::string_view aName) {
+    return static_cast<uint16_t>(reader.number(aName, kPorts));
+  };
+  const HostPorts ports{ .m_packets = port("packets"),
+                         .m_relay = port("relay"),
+                         .m_peers = port("peers"),
+                         .m_operators = port("operators"),
+                         .m_settings = port("settings"),
+                         .m_probe = port("probe"),
+                         .m_health = port("health") };
+  reader.refuseUnknown();
+  return ports;
+}
+
+} // namespace
+
+absl::StatusOr<std::string>
+readFile(const std::string& aFile)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  if (!stream) {
+    return absl::NotFoundError("cannot open " + aFile);
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+absl::StatusOr<HostConfig>
+parseHostConfig(std::string_view aText)
+{
+  const auto document = settings::parseDocument(aText);
+  if (!document.ok()) {
+    return document.status();
+  }
+  std::vector<Fault> faults;
+  FieldReader reader(*document, "", faults);
+  HostConfig config;
+  config.m_address = reader.address("address");
+  config.m_self = HostId{ config.m_address.m_value };
+  config.m_dataCentre = reader.text("data_centre");
+  config.m_platform = reader.text("platform");
+  config.m_ports = readPorts(reader.object("ports"), faults);
+  for (const settings::Json& item : reader.list("seeds")) {
+    const auto seed = item.is_string() ? parseIpv4(item.get<std::string>()) : std::nullopt;
+    if (!seed) {
+      reader.fault("seeds", "must hold IPv4 addresses only");
+      continue;
+    }
+    config.m_seeds.push_back(HostId{ seed->m_value });
+  }
+  reader.refuseUnknown();
+  if (faults.empty()) {
+    return config;
+  }
+  std::string message;
+  for (const Fault& fault : faults) {
+    message += (message.empty() ? "" : "; ") + fault.m_path + " " + fault.m_text;
+  }
+  return absl::InvalidArgumentError(message);
+}
+
+absl::StatusOr<HostConfig>
+readHostConfig(const std::string& aFile)
+{
+  const auto text = readFile(aFile);
+  if (!text.ok()) {
+    return text.status();
+  }
+  return parseHostConfig(*text);
+}
+
+} // namespace tamarack::daemon
--- /dev/null
+++ b/lib/daemon/ProbeReports.cpp
@@ -0,0 +1,126 @@
+// JSON forms of probe targets, probe reports and health answers.
+#include "daemon/ProbeReports.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarack::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+
+admission::UpstreamReport
+reportFromJson(const Json& aJson)
+{
+  return { .m_service = ServiceId{ aJson.at("service").get<uint32_t>() },
+           .m_upstream = UpstreamId{ aJson.at("upstream").get<uint32_t>() },
+           .m_answered = aJson.at("answered").get<bool>(),
+           .m_identityMatches = aJson.at("identity_matches").get<bool>(),
+           .m_claimsCold = aJson.at("claims_cold").get<bool>(),
+           .m_sheds = aJson.at("sheds").get<bool>(),
+           .m_draining = aJson.at("draining").get<bool>(),
+           .m_run = aJson.at("run").get<uint32_t>(),
+           .m_connections = aJson.at("connections").get<uint32_t>(),
+           .m_busySlots = aJson.at("busy_slots").get<uint32_t>() };
+}
+
+} // namespace
+
+std::string
+targetsToText(const std::vector<node::ProbeTarget>& aTargets)
+{
+  Json list = Json::array();
+  for (const node::ProbeTarget& target : aTargets) {
+    list.push_back({ { "service", target.m_service.m_value },
+                     { "upstream", target.m_upstream.m_value },
+                     { "address", formatIpv4(target.m_address) },
+                     { "service_name", target.m_serviceName },
+                     { "upstream_name", target.m_upstreamName } });
+  }
+  return list.dump();
+}
+
+absl::StatusOr<std::vector<node::ProbeTarget>>
+targetsFromText(std::string_view aText)
+{
+  std::vector<node::ProbeTarget> targets;
+  try {
+    for (const Json& json : Json::parse(aText)) {
+      const auto address = parseIpv4(json.at("address").get<std::string>());
+      if (!address) {
+        return absl::InvalidArgumentError("a probe target has no valid address");
+      }
+      targets.push_back({ .m_service = ServiceId{ json.at("service").get<uint32_t>() },
+                          .m_upstream = UpstreamId{ json.at("upstream").get<uint32_t>() },
+                          .m_address = *address,
+                          .m_serviceName = json.at("service_name").get<std::string>(),
+                          .m_upstreamName = json.at("upstream_name").get<std::string>() });
+    }
+  } catch (const Json::exception& error) {
+    return absl::InvalidArgumentError(std::string("not a list of probe targets: ") + error.what());
+  }
+  return targets;
+}
+
+std::string
+reportsToText(const std::vector<admission::UpstreamReport>& aReports)
+{
+  Json list = Json::array();
+  for (const admission::UpstreamReport& report : aReports) {
+    list.push_back({ { "service", report.m_service.m_value },
+                     { "upstream", report.m_upstream.m_value },
+                     { "answered", report.m_answered },
+                     { "identity_matches", report.m_identityMatches },
+                     { "claims_cold", report.m_claimsCold },
+                     { "sheds", report.m_sheds },
+                     { "draining", report.m_draining },
+                     { "run", report.m_run },
+                     { "connections", report.m_connections },
+                     { "busy_slots", report.m_busySlots } });
+  }
+  return list.dump();
+}
+
+absl::StatusOr<std::vector<admission::UpstreamReport>>
+reportsFromText(std::string_view aText)
+{
+  std::vector<admission::UpstreamReport> reports;
+  try {
+    for (const Json& json : Json::parse(aText)) {
+      reports.push_back(reportFromJson(json));
+    }
+  } catch (const Json::exception& error) {
+    return absl::InvalidArgumentError(std::string("not a list of probe reports: ") + error.what());
+  }
+  return reports;
+}
+
+admission::UpstreamReport
+readHealth(const node::ProbeTarget& aTarget, std::string_view aText)
+{
+  admission::UpstreamReport report{ .m_service = aTarget.m_service,
+                                    .m_upstream = aTarget.m_upstream };
+  try {
+    const Json json = Json::parse(aText);
+    const auto service = json.at("service").get<std::string>();
+    const auto upstream = json.at("upstream").get<std::string>();
+    const auto generation = json.at("generation").get<uint32_t>();
+    const auto state = json.at("state").get<std::string>();
+    admission::UpstreamReport full = report;
+    full.m_answered = true;
+    full.m_identityMatches =
+      settings::makeUpstreamId(service, upstream, aTarget.m_address, generation) ==
+      aTarget.m_upstream;
+    full.m_claimsCold = state == "cold";
+    full.m_draining = state == "draining";
+    full.m_sheds = json.at("sheds").get<bool>();
+    full.m_run = json.at("run").get<uint32_t>();
+    full.m_connections = json.at("connections").get<uint32_t>();
+    full.m_busySlots = json.at("busy_slots").get<uint32_t>();
+    return full;
+  } catch (const Json::exception&) {
+    return report;
+  }
+}
+
+} // namespace tamarack::daemon
--- a/lib/mapping/PinTable.h
+++ b/lib/mapping/PinTable.h
@@ -37,6 +37,12 @@
     return found == m_pins.end() ? nullptr : &found->second;
   }
 
+  [[nodiscard]] const Pin* peek(FlowId aFlow) const
+  {
+    const auto found = m_pins.find(aFlow.m_value);
+    return found == m_pins.end() ? nullptr : &found->second;
+  }
+
   /// Adds or replaces a pin. Returns null when the table is full.
   Pin* put(FlowId aFlow, const Pin& aPin)
   {
--- a/lib/settings/Spreader.cpp
+++ b/lib/settings/Spreader.cpp
@@ -2,61 +2,18 @@
 #include "settings/Spreader.h"
 
 #include "base/Hash.h"
-#include "settings/FieldReader.h"
 
 #include <algorithm>
-#include <array>
 
 namespace tamarack::settings {
 
 namespace {
 
-using namespace std::string_view_literals;
-
-constexpr std::array kHostStates{ "live"sv, "leaving"sv };
 /// Peers of other data centres that a reader watches beside the platform.
 constexpr size_t kFarPeers = 1;
 
-Json
-hostsToJson(const HostList& aHosts)
-{
-  Json entries = Json::array();
-  for (const HostEntry& entry : aHosts.m_hosts) {
-    entries.push_back({ { "address", formatIpv4(Ipv4{ entry.m_host.m_value }) },
-                        { "data_centre", entry.m_dataCentre },
-                        { "state", entry.m_leaving ? "leaving" : "live" } });
-  }
-  return { { "hosts", std::move(entries) } };
-}
-
 } // namespace
 
-absl::StatusOr<HostList>
-parseHostList(Revision aRevision, std::string_view aText)
-{
-  const auto document = parseDocument(aText);
-  if (!document.ok()) {
-    return document.status();
-  }
-  std::vector<Fault> faults;
-  HostList hosts{ .m_revision = aRevision };
-  FieldReader reader(*document, "", faults);
-  size_t index = 0;
-  for (const Json& json : reader.list("hosts")) {
-    FieldReader entry(json, "/hosts/" + std::to_string(index++), faults);
-    HostEntry host;
-    host.m_host = HostId{ entry.address("address").m_value };
-    host.m_dataCentre = entry.text("data_centre");
-    host.m_leaving = entry.choice("state", kHostStates) == "leaving";
-    entry.refuseUnknown();
-    hosts.m_hosts.push_back(std::move(host));
-  }
-  if (!faults.empty()) {
-    return absl::InvalidArgumentError(faults.front().m_path + " " + faults.front().m_text);
-  }
-  return hosts;
-}
-
 Spreader::Spreader(SpreaderOptions aOptions, EventLog& aEvents)
   : m_options(std::move(aOptions))
   , m_events(aEvents)
@@ -68,7 +25,7 @@
 Spreader::readersOf(std::string_view aDataCentre) const
 {
   std::vector<HostId> candidates;
-  for (const HostEntry& entry : m_hosts.m_hosts) {
+  for (const HostEntry& entry : hosts().m_hosts) {
     if (entry.m_dataCentre == aDataCentre && !entry.m_leaving) {
       candidates.push_back(entry.m_host);
     }
@@ -100,7 +57,7 @@
 Spreader::wantedSources(TimePoint aNow) const
 {
   std::vector<Source> wanted;
-  if (m_hosts.m_hosts.empty()) {
+  if (hosts().m_hosts.empty()) {
     wanted.push_back({});
     for (const HostId seed : m_options.m_seeds) {
       if (seed != m_options.m_self) {
@@ -119,7 +76,7 @@
   // Readers, and hosts whose readers all fail, ask the platform and somebody far away.
   wanted.push_back({});
   std::vector<HostId> far;
-  for (const HostEntry& entry : m_hosts.m_hosts) {
+  for (const HostEntry& entry : hosts().m_hosts) {
     const bool isOther = entry.m_host != m_options.m_self && !entry.m_leaving;
     if (isOther && isUsable(aNow, { entry.m_host })) {
       far.push_back(entry.m_host);
@@ -148,7 +105,7 @@
     }
     state.m_waiting = true;
     state.m_askedAt = aNow;
-    watches.push_back({ source, { m_acceptor.form().m_revision, m_hosts.m_revision } });
+    watches.push_back({ source, { m_state.form().m_revision, hosts().m_revision } });
   }
   return watches;
 }
@@ -158,9 +115,9 @@
 {
   m_sources[Source{}] = {};
   if (aAnswer.m_settings) {
-    const Revision before = m_acceptor.form().m_revision;
+    const Revision before = m_state.form().m_revision;
     const AcceptOutcome outcome =
-      m_acceptor.offerDocument(aAnswer.m_settingsRevision, *aAnswer.m_settings);
+      m_state.offerDocument(aAnswer.m_settingsRevision, *aAnswer.m_settings);
     if (aAnswer.m_settingsRevision > before) {
       m_faults = outcome.m_faults;
       noteOutcome(aNow, outcome);
@@ -169,59 +126,32 @@
   if (aAnswer.m_hosts) {
     auto hosts = parseHostList(aAnswer.m_hostsRevision, *aAnswer.m_hosts);
     if (hosts.ok()) {
-      takeHosts(*std::move(hosts));
+      m_state.offerHosts(*std::move(hosts));
     } else {
       m_events.add(
         aNow, EventId::SettingsSourceFailed, "host list: " + std::string(hosts.status().message()));
     }
   }
   // A platform that answers with older state than this host has seen is stale.
-  if (aAnswer.m_settingsRevision >= m_acceptor.form().m_revision) {
-    m_confirmedAt = aNow;
+  if (aAnswer.m_settingsRevision >= m_state.form().m_revision) {
+    m_state.confirm(aNow);
   }
 }
 
 bool
 Spreader::onPeerAnswer(TimePoint aNow, HostId aPeer, std::string_view aAnswer)
 {
-  const Json json = Json::parse(aAnswer, nullptr, false);
-  try {
-    const Revision revision = json.at("revision").get<Revision>();
-    const Millis age(json.at("age_ms").get<int64_t>());
-    if (const auto patch = json.find("patch"); patch != json.end()) {
-      if (json.at("from").get<Revision>() != m_acceptor.form().m_revision) {
-        throw std::invalid_argument("a difference to another revision");
-      }
-      const Json patched = toJson(m_acceptor.form()).patch(*patch);
-      const auto form = acceptedFormFromJson(patched);
-      if (!form.ok()) {
-        throw std::invalid_argument(std::string(form.status().message()));
-      }
-      noteOutcome(aNow, m_acceptor.offerForm(*form));
-    } else if (const auto whole = json.find("form"); whole != json.end()) {
-      const auto form = acceptedFormFromJson(*whole);
-      if (!form.ok()) {
-        throw std::invalid_argument(std::string(form.status().message()));
-      }
-      noteOutcome(aNow, m_acceptor.offerForm(*form));
-    }
-    if (const auto hosts = json.find("hosts"); hosts != json.end()) {
-      auto list = parseHostList(json.at("hosts_revision").get<Revision>(), hosts->dump());
-      if (list.ok()) {
-        takeHosts(*std::move(list));
-      }
-    }
-    if (revision >= m_acceptor.form().m_revision) {
-      m_confirmedAt = std::max(m_confirmedAt, aNow - age);
-    }
-    m_sources[Source{ aPeer }] = {};
-    return true;
-  } catch (const std::exception& error) {
-    m_events.add(
-      aNow, EventId::SettingsSourceFailed, "peer " + formatHost(aPeer) + ": " + error.what());
+  const auto outcome = m_state.apply(aNow, aAnswer);
+  if (!outcome.ok()) {
+    m_events.add(aNow,
+                 EventId::SettingsSourceFailed,
+                 "peer " + formatHost(aPeer) + ": " + std::string(outcome.status().message()));
     onFailure(aNow, Source{ aPeer });
     return false;
   }
+  noteOutcome(aNow, *outcome);
+  m_sources[Source{ aPeer }] = {};
+  return true;
 }
 
 void
@@ -251,22 +181,14 @@
     return;
   }
   m_events.add(
-    aNow, EventId::SettingsAccepted, "revision " + std::to_string(m_acceptor.form().m_revision));
+    aNow, EventId::SettingsAccepted, "revision " + std::to_string(m_state.form().m_revision));
   keepForm();
 }
 
-void
-Spreader::takeHosts(HostList aHosts)
-{
-  if (aHosts.m_revision > m_hosts.m_revision) {
-    m_hosts = std::move(aHosts);
-  }
-}
-
 void
 Spreader::keepForm()
 {
-  m_forms.emplace_back(m_acceptor.form().m_revision, toJson(m_acceptor.form()));
+  m_forms.emplace_back(m_state.form().m_revision, toJson(m_state.form()));
   if (m_forms.size() > kKeptForms) {
     m_forms.pop_front();
   }
@@ -275,16 +197,15 @@
 bool
 Spreader::hasNews(const WatchRequest& aRequest) const
 {
-  return m_acceptor.form().m_revision > aRequest.m_settings ||
-         m_hosts.m_revision > aRequest.m_hosts;
+  return m_state.form().m_revision > aRequest.m_settings || hosts().m_revision > aRequest.m_hosts;
 }
 
 std::string
 Spreader::answer(TimePoint aNow, const WatchRequest& aRequest) const
 {
-  const AcceptedForm& form = m_acceptor.form();
+  const AcceptedForm& form = m_state.form();
   Json answer{ { "revision", form.m_revision },
-               { "age_ms", std::max<int64_t>(0, (aNow - m_confirmedAt).count()) } };
+               { "age_ms", std::max<int64_t>(0, (aNow - confirmedAt()).count()) } };
   if (form.m_revision > aRequest.m_settings) {
     const Json whole = toJson(form);
     const auto known = std::ranges::find(
@@ -296,9 +217,9 @@
       answer["form"] = whole;
     }
   }
-  if (m_hosts.m_revision > aRequest.m_hosts) {
-    answer["hosts_revision"] = m_hosts.m_revision;
-    answer["hosts"] = hostsToJson(m_hosts);
+  if (hosts().m_revision > aRequest.m_hosts) {
+    answer["hosts_revision"] = hosts().m_revision;
+    answer["hosts"] = hostListToJson(hosts());
   }
   return answer.dump();
 }
--- a/lib/settings/Spreader.h
+++ b/lib/settings/Spreader.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "base/EventLog.h"
-#include "settings/Acceptor.h"
+#include "settings/StateCopy.h"
 
 #include <deque>
 #include <map>
@@ -26,25 +26,6 @@
 /// Accepted forms that are kept to answer with a difference.
 inline constexpr size_t kKeptForms = 16;
 
-/// One entry of the published host list.
-struct HostEntry
-{
-  HostId m_host;
-  std::string m_dataCentre;
-  bool m_leaving{};
-};
-
-/// The published host list.
-struct HostList
-{
-  Revision m_revision{};
-  std::vector<HostEntry> m_hosts;
-};
-
-/// Reads `{"hosts": [{"address", "data_centre", "state": "live" | "leaving"}]}`.
-[[nodiscard]] absl::StatusOr<HostList>
-parseHostList(Revision aRevision, std::string_view aText);
-
 /// Where a watch goes: to the platform when the host is zero, else to that host.
 struct Source
 {
@@ -97,12 +78,12 @@
   /// The answer to a watch: what changed, as a difference when one is smaller.
   [[nodiscard]] std::string answer(TimePoint aNow, const WatchRequest& aRequest) const;
 
-  [[nodiscard]] const SettingsPtr& settings() const { return m_acceptor.settings(); }
-  [[nodiscard]] const AcceptedForm& form() const { return m_acceptor.form(); }
-  [[nodiscard]] const HostList& hosts() const { return m_hosts; }
+  [[nodiscard]] const SettingsPtr& settings() const { return m_state.settings(); }
+  [[nodiscard]] const AcceptedForm& form() const { return m_state.form(); }
+  [[nodiscard]] const HostList& hosts() const { return m_state.hosts(); }
   [[nodiscard]] const std::vector<Fault>& faults() const { return m_faults; }
   /// When the platform last confirmed the state, directly or through others, by our clock.
-  [[nodiscard]] TimePoint confirmedAt() const { return m_confirmedAt; }
+  [[nodiscard]] TimePoint confirmedAt() const { return m_state.confirmedAt(); }
   [[nodiscard]] bool isReader() const;
 
 private:
@@ -118,15 +99,12 @@
   [[nodiscard]] std::vector<Source> wantedSources(TimePoint aNow) const;
   bool isUsable(TimePoint aNow, Source aSource) const;
   void noteOutcome(TimePoint aNow, const AcceptOutcome& aOutcome);
-  void takeHosts(HostList aHosts);
   void keepForm();
 
   SpreaderOptions m_options;
   EventLog& m_events;
-  Acceptor m_acceptor;
-  HostList m_hosts;
+  StateCopy m_state;
   std::vector<Fault> m_faults;
-  TimePoint m_confirmedAt;
   std::map<Source, SourceState> m_sources;
   /// Former accepted forms, oldest first; at most kKeptForms.
   std::deque<std::pair<Revision, Json>> m_forms;
