--- a/lib/session/Scenarios.cpp
+++ b/lib/session/Scenarios.cpp
@@ -17,6 +17,7 @@
 /// An unannounced turn to cold shows in the health endpoint only by the next probes.
 constexpr Millis kColdNotice{ 3000 };
 constexpr Millis kRestartAfter{ 50'000 };
+constexpr Millis kEditRetry{ 500 };
 constexpr Millis kDcChangeTail{ 20'000 };
 
 constexpr auto kTable = std::to_array<ScenarioRow>({
@@ -58,6 +59,17 @@
   {
     m_session.timeline().at(Timeline::kStart + aTime, std::move(aAction));
   }
+  /// An edit of the published documents; while the platform is down it has to wait.
+  void edit(Millis aTime, std::function<void()> aAction)
+  {
+    at(aTime, [script = *this, action = std::move(aAction)]() mutable {
+      if (script.m_session.world().platform().m_isUp) {
+        action();
+        return;
+      }
+      script.edit(script.m_session.timeline().elapsed() + kEditRetry, std::move(action));
+    });
+  }
   TimePoint now() { return m_session.timeline().now(); }
 
   /// A machine of the main service that no scenario has changed yet.
@@ -199,8 +211,8 @@
     });
   } else if (aName == "uneven-settings") {
     m_session.delaySettings(Millis{ 2000 });
-    at(m_first, [script = *this]() mutable { script.drain(); });
-    at(m_first + Millis{ 1000 }, [script = *this]() mutable { script.join("uneven"); });
+    edit(m_first, [script = *this]() mutable { script.drain(); });
+    edit(m_first + Millis{ 1000 }, [script = *this]() mutable { script.join("uneven"); });
   } else if (aName == "platform-down") {
     at(Millis{ 30'000 }, [&world] { world.platform().m_isUp = false; });
     at(Millis{ 60'000 }, [script = *this]() mutable {
@@ -210,7 +222,7 @@
     at(Millis{ 100'000 }, [&world] { world.platform().m_isUp = true; });
     at(Millis{ 110'000 }, [script = *this]() mutable { script.m_session.publishHostList(); });
   } else if (aName == "stale-platform") {
-    at(m_first, [script = *this]() mutable { script.drain(); });
+    edit(m_first, [script = *this]() mutable { script.drain(); });
     at(m_first + Millis{ 100 }, [&world] { world.platform().m_isStale = true; });
     at(m_first + Millis{ 40'000 }, [&world] { world.platform().m_isStale = false; });
   } else if (aName == "control-loss") {
@@ -225,29 +237,29 @@
 Script<Policy>::scheduleUpstreams(std::string_view aName)
 {
   if (aName == "drain") {
-    at(m_first, [script = *this]() mutable { script.drain(); });
+    edit(m_first, [script = *this]() mutable { script.drain(); });
   } else if (aName == "join") {
-    at(m_first, [script = *this]() mutable { script.join("new"); });
+    edit(m_first, [script = *this]() mutable { script.join("new"); });
   } else if (aName == "ramp") {
-    at(m_first, [script = *this]() mutable {
+    edit(m_first, [script = *this]() mutable {
       script.join("ramp");
       script.join("ramp");
       script.m_session.callers().setRate(2 * script.m_session.options().m_newFlowsPerSecond);
     });
   } else if (aName == "lying-load") {
-    at(m_first, [script = *this]() mutable { script.join("lies").m_lies = true; });
+    edit(m_first, [script = *this]() mutable { script.join("lies").m_lies = true; });
   } else if (aName == "turns-cold") {
     at(m_first, [script = *this]() mutable { script.turnCold(); });
   } else if (aName == "dc-out" || aName == "dc-back") {
     const std::string dataCentre = pickDataCentre();
     const Millis start = aName == "dc-out" ? m_first : Millis{ 30'000 };
-    at(start, [script = *this, dataCentre]() mutable { script.takeOut(dataCentre); });
+    edit(start, [script = *this, dataCentre]() mutable { script.takeOut(dataCentre); });
     if (aName == "dc-back") {
-      at(Millis{ 70'000 },
+      edit(Millis{ 70'000 },
          [script = *this, dataCentre]() mutable { script.bringBack(dataCentre); });
     }
   } else if (aName == "address-reuse") {
-    at(m_first, [script = *this]() mutable { script.reuseAddress(); });
+    edit(m_first, [script = *this]() mutable { script.reuseAddress(); });
   }
 }
 
