[settings] Ask a peer that has newer settings; rest shorter after failures

Ruled out: the platform's budget, which allows far more reads. Change: heartbeats carry revisions, so a host that is behind asks that peer at once; rests end at 1 s plus jitter.

--- a/lib/daemon/BalancerDaemon.cpp
+++ b/lib/daemon/BalancerDaemon.cpp
@@ -87,6 +87,7 @@
   m_packets.retryDue(now);
   m_links.checkEchoes(now, m_node.context().m_membership);
   sendFrames(now);
+  tellNewerPeer();
   operating::logEvents(m_node.events().takeFresh());
   if (m_node.hasLeft() && m_leftAt == TimePoint{}) {
     m_leftAt = now;
@@ -105,6 +106,20 @@
   });
 }
 
+void
+BalancerDaemon::tellNewerPeer()
+{
+  const auto [peer, revision] = m_node.newerPeer();
+  if (!peer || revision <= m_toldRevision) {
+    return;
+  }
+  m_toldRevision = revision;
+  transport::Request request{ .m_method = "GET", .m_path = "/newer" };
+  request.m_query["host"] = formatHost(peer);
+  request.m_query["revision"] = std::to_string(revision);
+  m_settingsProcess.request(request, kWatchDeadline, [](const transport::Response&) {});
+}
+
 void
 BalancerDaemon::sendFrames(TimePoint aNow)
 {
--- a/lib/daemon/BalancerDaemon.h
+++ b/lib/daemon/BalancerDaemon.h
@@ -21,6 +21,8 @@
 private:
   void tick();
   void sendFrames(TimePoint aNow);
+  /// Tells the local settings process that a peer has newer settings.
+  void tellNewerPeer();
   void onFrameBytes(std::span<const uint8_t> aBytes);
   void watchSettings();
   void onState(const transport::Response& aResponse);
@@ -39,6 +41,7 @@
   transport::Client m_settingsProcess;
   settings::StateCopy m_state;
   settings::Revision m_givenHosts{};
+  settings::Revision m_toldRevision{};
   asio::steady_timer m_tickTimer;
   asio::steady_timer m_watchTimer;
   TimePoint m_stoppingSince;
--- a/lib/daemon/SettingsDaemon.cpp
+++ b/lib/daemon/SettingsDaemon.cpp
@@ -174,6 +174,15 @@
     aRespond(dump());
     return;
   }
+  if (aRequest.m_path == "/newer") {
+    const auto host = aRequest.m_query.find("host");
+    const auto address = host == aRequest.m_query.end() ? std::nullopt : parseIpv4(host->second);
+    if (address) {
+      m_spreader.onNewerPeer(HostId{ address->m_value }, numberOf(aRequest, "revision"));
+    }
+    aRespond({ .m_status = address ? 200 : 400 });
+    return;
+  }
   if (aRequest.m_path != "/state") {
     aRespond({ .m_status = 404, .m_body = "no such path\n" });
     return;
--- a/lib/node/Context.h
+++ b/lib/node/Context.h
@@ -52,17 +52,21 @@
     return aNow - m_settingsConfirmedAt < kSettingsLease;
   }
 
-  /// Another host has newer settings, so an unknown upstream may just be new.
-  [[nodiscard]] bool areSettingsBehind() const
+  /// An alive peer with newer settings; zero when there is none.
+  [[nodiscard]] HostId newerPeer() const
   {
+    const settings::Revision own = m_settings ? m_settings->m_revision : 0;
     for (const auto& [host, peer] : m_membership.peers()) {
-      if (peer.m_alive && m_settings && peer.m_settingsRevision > m_settings->m_revision) {
-        return true;
+      if (peer.m_alive && peer.m_settingsRevision > own) {
+        return host;
       }
     }
-    return false;
+    return {};
   }
 
+  /// Another host has newer settings, so an unknown upstream may just be new.
+  [[nodiscard]] bool areSettingsBehind() const { return static_cast<bool>(newerPeer()); }
+
   EventLog m_events;
   membership::Membership m_membership;
   std::map<HostId, Channel> m_channels;
--- a/lib/node/Node.cpp
+++ b/lib/node/Node.cpp
@@ -358,6 +358,14 @@
   return targets;
 }
 
+std::pair<HostId, settings::Revision>
+Node::newerPeer() const
+{
+  const HostId host = m_context.newerPeer();
+  const membership::Peer* peer = m_context.m_membership.find(host);
+  return { host, peer == nullptr ? 0 : peer->m_settingsRevision };
+}
+
 uint64_t
 Node::mapDigest() const
 {
--- a/lib/node/Node.h
+++ b/lib/node/Node.h
@@ -63,6 +63,9 @@
   [[nodiscard]] std::vector<OutgoingFrame> takeFrames(TimePoint aNow);
   [[nodiscard]] std::vector<ProbeTarget> probeTargets(TimePoint aNow) const;
 
+  /// A peer that has newer settings than this host, and their revision; a zero host for none.
+  [[nodiscard]] std::pair<HostId, settings::Revision> newerPeer() const;
+
   /// Begins a planned stop.
   void startLeaving(TimePoint aNow);
   /// The planned stop is complete; the process may end after the last frames are sent.
--- a/lib/session/Baseline.h
+++ b/lib/session/Baseline.h
@@ -20,6 +20,7 @@
   [[nodiscard]] node::Decision decide(TimePoint aNow, const node::Arrival& aArrival);
   [[nodiscard]] std::vector<node::OutgoingFrame> takeFrames(TimePoint) { return {}; }
   [[nodiscard]] std::vector<node::ProbeTarget> probeTargets(TimePoint aNow) const;
+  [[nodiscard]] std::pair<HostId, settings::Revision> newerPeer() const { return {}; }
   void startLeaving(TimePoint) { m_left = true; }
   [[nodiscard]] bool hasLeft() const { return m_left; }
   [[nodiscard]] EventLog& events() { return m_events; }
--- a/lib/session/Callers.cpp
+++ b/lib/session/Callers.cpp
@@ -21,6 +21,27 @@
 /// Share of flows that go to the smaller service, in percent.
 constexpr uint64_t kSideShare = 15;
 constexpr Millis kOpenStep{ 50 };
+constexpr Millis kOutGrace{ 3000 };
+
+std::string_view
+endName(FlowEnd aEnd)
+{
+  switch (aEnd) {
+    case FlowEnd::Running:
+      return "runs";
+    case FlowEnd::Done:
+      return "done";
+    case FlowEnd::Broken:
+      return "broken";
+    case FlowEnd::GivenUp:
+      return "given up";
+    case FlowEnd::Refused:
+      return "refused";
+    case FlowEnd::Unopened:
+      return "not opened";
+  }
+  return "";
+}
 
 } // namespace
 
@@ -230,9 +251,12 @@
 Callers::breakFlow(uint32_t aFlow)
 {
   const Machine* machine = m_flows[aFlow].m_machine;
-  const bool wasOut =
-    machine != nullptr && (machine->m_retired || machine->m_outSince > m_flows[aFlow].m_openedAt);
-  end(aFlow, wasOut ? FlowEnd::GivenUp : FlowEnd::Broken);
+  // Hosts hear of a data centre that is taken out within the grace time; until then flows that are
+  // opened in it end with it.
+  const bool wasOut = machine != nullptr && machine->m_outSince != TimePoint{} &&
+                      machine->m_outSince + kOutGrace > m_flows[aFlow].m_openedAt;
+  const bool isGivenUp = wasOut || (machine != nullptr && machine->m_retired);
+  end(aFlow, isGivenUp ? FlowEnd::GivenUp : FlowEnd::Broken);
 }
 
 void
@@ -244,9 +268,12 @@
     flow.m_machine->m_flows.erase(aFlow);
   }
   m_record.onFlowEnd(m_timeline.now(), aEnd, flow.m_openedAt);
-  if (m_options.m_tracedFlow == aFlow && m_options.m_trace != nullptr && aFlow != 0) {
-    *m_options.m_trace << m_timeline.elapsed().count() << " flow " << aFlow << " ended "
-                       << static_cast<int>(aEnd) << "\n";
+  const bool isTraced = m_options.m_tracedFlow != 0 && m_options.m_tracedFlow == aFlow;
+  const bool isFailure = m_options.m_traceEvents && aEnd != FlowEnd::Done;
+  if (m_options.m_trace != nullptr && (isTraced || isFailure)) {
+    *m_options.m_trace << m_timeline.elapsed().count() << " flow " << aFlow << " "
+                       << endName(aEnd) << " at "
+                       << (flow.m_machine == nullptr ? "no upstream" : flow.m_machine->m_name) << "\n";
   }
   if (flow.m_kind == FlowKind::Feed) {
     m_timeline.after(aEnd == FlowEnd::Refused ? kReopenRefused : kReopen,
--- a/lib/session/Scenarios.cpp
+++ b/lib/session/Scenarios.cpp
@@ -202,12 +202,13 @@
   World& world = m_session.world();
   if (aName == "dc-partition") {
     at(m_first, [script = *this]() mutable {
-      World& inner = script.m_session.world();
       const std::string dataCentre = script.pickDataCentre();
       script.addFault(kPartitionTime);
-      inner.m_cutDataCentres.insert(dataCentre);
-      script.m_session.timeline().after(
-        kPartitionTime, [&inner, dataCentre] { inner.m_cutDataCentres.erase(dataCentre); });
+      script.m_session.cutDataCentre(dataCentre, true);
+      script.m_session.timeline().after(kPartitionTime,
+                                        [session = &script.m_session, dataCentre] {
+                                          session->cutDataCentre(dataCentre, false);
+                                        });
     });
   } else if (aName == "uneven-settings") {
     m_session.delaySettings(Millis{ 2000 });
--- a/lib/session/Session.cpp
+++ b/lib/session/Session.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kListNoticesCrash{ 30'000 };
 constexpr Millis kHostListLag{ 1000 };
 constexpr Millis kFabricJoin{ 3000 };
+/// A host that can talk to the others again hears within this time of what was published.
+constexpr Millis kInformTime{ 3000 };
 /// Bytes of an HTTP/2 frame header, a length prefix, and the TCP and IP headers of one segment.
 constexpr uint64_t kFrameOverhead = 9 + 4 + 52;
 
@@ -121,6 +123,7 @@
   host.m_alive = true;
   host.m_leaving = false;
   host.m_incarnation = ++m_incarnations;
+  host.m_reachableSince = m_timeline.now();
   host.m_given = 0;
   host.m_givenHosts = 0;
   host.m_watchers.clear();
@@ -186,6 +189,7 @@
 Session<Policy>::pauseHost(size_t aHost, Millis aTime)
 {
   m_hosts[aHost].m_pausedUntil = m_timeline.now() + aTime;
+  m_hosts[aHost].m_reachableSince = m_hosts[aHost].m_pausedUntil;
 }
 
 template<HostPolicy Policy>
@@ -193,6 +197,31 @@
 Session<Policy>::cutHost(size_t aHost, bool aIsCut)
 {
   m_hosts[aHost].m_cut = aIsCut;
+  m_hosts[aHost].m_reachableSince = m_timeline.now();
+}
+
+template<HostPolicy Policy>
+void
+Session<Policy>::cutDataCentre(const std::string& aDataCentre, bool aIsCut)
+{
+  if (aIsCut) {
+    m_world.m_cutDataCentres.insert(aDataCentre);
+  } else {
+    m_world.m_cutDataCentres.erase(aDataCentre);
+  }
+  for (Host& host : m_hosts) {
+    if (host.m_dataCentre == aDataCentre) {
+      host.m_reachableSince = m_timeline.now();
+    }
+  }
+}
+
+template<HostPolicy Policy>
+bool
+Session<Policy>::isInformed(const Host& aHost) const
+{
+  const bool isCut = aHost.m_cut || m_world.m_cutDataCentres.contains(aHost.m_dataCentre);
+  return !isCut && m_timeline.now() >= aHost.m_reachableSince + kInformTime;
 }
 
 template<HostPolicy Policy>
@@ -373,6 +402,9 @@
 Session<Policy>::startWatches(size_t aHost)
 {
   Host& host = m_hosts[aHost];
+  if (const auto [peer, revision] = host.m_policy->newerPeer(); peer) {
+    host.m_spreader->onNewerPeer(peer, revision);
+  }
   for (const auto& [source, request] : host.m_spreader->takeWatches(m_timeline.now())) {
     if (source.isPlatform()) {
       watchPlatform(aHost, request);
@@ -527,8 +559,8 @@
   const bool isReachable = !host.m_cut && !m_world.m_cutDataCentres.contains(host.m_dataCentre);
   const auto published = m_publishedAt.find(host.m_given);
   if (isReachable && before > 0 && published != m_publishedAt.end()) {
-    const double seconds =
-      std::chrono::duration<double>(m_timeline.now() - published->second).count();
+    const TimePoint since = std::max(published->second, host.m_reachableSince);
+    const double seconds = std::chrono::duration<double>(m_timeline.now() - since).count();
     m_record.figures().m_settingsInForce = std::max(m_record.figures().m_settingsInForce, seconds);
   }
 }
@@ -661,7 +693,7 @@
     return;
   }
   const std::string from = m_hosts[aHost].m_dataCentre;
-  const bool isExempt = m_hosts[aHost].m_cut || m_world.m_cutDataCentres.contains(from);
+  const bool isExempt = !isInformed(m_hosts[aHost]);
   m_timeline.after(m_world.delay(from, machine->m_dataCentre),
                    [this, machine, from, aFlow, aKind, isExempt] {
                      if (machine->m_up && m_world.isConnected(from, machine->m_dataCentre)) {
--- a/lib/session/Session.h
+++ b/lib/session/Session.h
@@ -71,6 +71,7 @@
   void leaveHost(size_t aHost);
   void pauseHost(size_t aHost, Millis aTime);
   void cutHost(size_t aHost, bool aIsCut);
+  void cutDataCentre(const std::string& aDataCentre, bool aIsCut);
   /// Settings come into force on each host later by a time of its own, up to this.
   void delaySettings(Millis aMost);
   void publish();
@@ -92,6 +93,8 @@
     bool m_leaving{};
     bool m_inFabric{};
     TimePoint m_pausedUntil;
+    /// Since when the host runs and can talk to the others.
+    TimePoint m_reachableSince;
     Millis m_settingsDelay{};
     settings::Revision m_given{};
     settings::Revision m_givenHosts{};
@@ -131,6 +134,8 @@
   void traceEvents(size_t aHost);
   /// Runs an action on a host now, or when its pause ends.
   void onHost(size_t aHost, std::function<void()> aAction);
+  /// Whether a host has had time to hear of what was published.
+  [[nodiscard]] bool isInformed(const Host& aHost) const;
   [[nodiscard]] bool canTalk(size_t aFrom, size_t aTo) const;
   [[nodiscard]] bool canReachPlatform(size_t aHost) const;
   [[nodiscard]] std::optional<size_t> findHost(HostId aHost) const;
--- a/lib/settings/Spreader.cpp
+++ b/lib/settings/Spreader.cpp
@@ -53,6 +53,15 @@
   return state == m_sources.end() || aNow >= state->second.m_restUntil;
 }
 
+void
+Spreader::onNewerPeer(HostId aPeer, Revision aRevision)
+{
+  if (aRevision > form().m_revision && aPeer != m_options.m_self) {
+    m_newerPeer = aPeer;
+    m_newerRevision = aRevision;
+  }
+}
+
 std::vector<Source>
 Spreader::wantedSources(TimePoint aNow) const
 {
@@ -98,7 +107,12 @@
     }
   }
   std::vector<std::pair<Source, WatchRequest>> watches;
-  for (const Source source : wantedSources(aNow)) {
+  std::vector<Source> sources = wantedSources(aNow);
+  const Source newer{ m_newerPeer };
+  if (m_newerRevision > form().m_revision && std::ranges::find(sources, newer) == sources.end()) {
+    sources.push_back(newer);
+  }
+  for (const Source source : sources) {
     SourceState& state = m_sources[source];
     if (state.m_waiting || aNow < state.m_restUntil) {
       continue;
--- a/lib/settings/Spreader.h
+++ b/lib/settings/Spreader.h
@@ -20,7 +20,7 @@
 inline constexpr Millis kWatchDeadline{ 3000 };
 /// A source that failed rests at least this long; the rest doubles up to the most.
 inline constexpr Millis kLeastRest{ 500 };
-inline constexpr Millis kMostRest{ 8000 };
+inline constexpr Millis kMostRest{ 1000 };
 /// Hosts of one data centre that watch the platform.
 inline constexpr size_t kReadersPerDataCentre = 2;
 /// Accepted forms that are kept to answer with a difference.
@@ -72,6 +72,8 @@
   /// `aAnswer` is what a peer's `answer` returned. Returns false when it was not usable.
   bool onPeerAnswer(TimePoint aNow, HostId aPeer, std::string_view aAnswer);
   void onFailure(TimePoint aNow, Source aSource);
+  /// A peer is known to have a newer revision; it is asked next.
+  void onNewerPeer(HostId aPeer, Revision aRevision);
 
   /// Whether this host has something that the watcher lacks.
   [[nodiscard]] bool hasNews(const WatchRequest& aRequest) const;
@@ -106,6 +108,9 @@
   StateCopy m_state;
   std::vector<Fault> m_faults;
   std::map<Source, SourceState> m_sources;
+  /// A peer that has a newer revision; zero when none is known.
+  HostId m_newerPeer;
+  Revision m_newerRevision{};
   /// Former accepted forms, oldest first; at most kKeptForms.
   std::deque<std::pair<Revision, Json>> m_forms;
   std::mt19937_64 m_random;
