[node] A host decides only once it has heard the fleet; replicas keep pins through a merge

Change: hosts say in heartbeats when their view has settled (2 s after they got a map or woke), and only settled hosts own and decide; pins of a released bucket live 5 s longer; a new owner waits for the hand-over before it reports a bucket empty; bucket lists go over the wire as gaps.

--- a/lib/mapping/Bucket.h
+++ b/lib/mapping/Bucket.h
@@ -49,6 +49,7 @@
 struct BucketGroup
 {
   Bucket m_value;
+  /// In ascending order.
   std::vector<uint16_t> m_buckets;
 };
 
--- a/lib/mapping/PinTable.h
+++ b/lib/mapping/PinTable.h
@@ -62,8 +62,8 @@
   template<typename Visit>
   void eraseIf(Visit aVisit)
   {
-    boost::unordered::erase_if(m_pins,
-                   [&](auto& aEntry) { return aVisit(FlowId{ aEntry.first }, aEntry.second); });
+    boost::unordered::erase_if(
+      m_pins, [&](auto& aEntry) { return aVisit(FlowId{ aEntry.first }, aEntry.second); });
   }
 
   template<typename Visit>
--- a/lib/membership/Heartbeat.h
+++ b/lib/membership/Heartbeat.h
@@ -21,6 +21,8 @@
   TimePoint m_echo;
   /// The sender holds a complete bucket map.
   bool m_established{};
+  /// The sender has seen the fleet for long enough to own buckets and to decide.
+  bool m_settled{};
   /// The sender is about to stop as planned.
   bool m_leaving{};
   /// The sender has nothing left to hand over and will not answer any more.
--- a/lib/membership/Membership.cpp
+++ b/lib/membership/Membership.cpp
@@ -91,6 +91,7 @@
   peer.m_heard = true;
   peer.m_alive = !aHeartbeat.m_left;
   peer.m_established = aHeartbeat.m_established;
+  peer.m_settled = aHeartbeat.m_settled;
   peer.m_leaving = aHeartbeat.m_leaving;
   peer.m_left = aHeartbeat.m_left;
   peer.m_heardAt = aNow;
@@ -142,10 +143,19 @@
 }
 
 void
-Membership::setEstablished(bool aEstablished)
+Membership::setEstablished()
 {
-  m_established = aEstablished;
-  refreshCandidates();
+  m_established = true;
+}
+
+void
+Membership::setSettled(bool aSettled)
+{
+  const bool settled = aSettled && m_established;
+  if (settled != m_settled) {
+    m_settled = settled;
+    refreshCandidates();
+  }
 }
 
 void
@@ -250,6 +260,7 @@
   heartbeat.m_incarnation = m_options.m_incarnation;
   heartbeat.m_sentAt = aNow;
   heartbeat.m_established = m_established;
+  heartbeat.m_settled = m_settled;
   heartbeat.m_leaving = m_leaving;
   if (const Peer* peer = find(aPeer); peer != nullptr && peer->m_heard) {
     heartbeat.m_echo = peer->m_peerSentAt;
@@ -261,11 +272,11 @@
 Membership::refreshCandidates()
 {
   m_candidates.clear();
-  if (m_established && !m_leaving) {
+  if (m_settled && !m_leaving) {
     m_candidates.push_back(m_options.m_self);
   }
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_alive && peer.m_established && !peer.m_leaving) {
+    if (peer.m_alive && peer.m_settled && !peer.m_leaving) {
       m_candidates.push_back(host);
     }
   }
--- a/lib/membership/Membership.h
+++ b/lib/membership/Membership.h
@@ -41,6 +41,7 @@
   bool m_listedLeaving{};
   bool m_heard{};
   bool m_established{};
+  bool m_settled{};
   bool m_leaving{};
   bool m_left{};
   /// Set while heartbeats arrive within the failure timeout.
@@ -85,7 +86,9 @@
   /// Finds peers that were silent for too long; returns the hosts that are newly lost.
   std::vector<HostId> expire(TimePoint aNow);
 
-  void setEstablished(bool aEstablished);
+  void setEstablished();
+  /// Whether this host may own buckets and decide: its view of the others is complete.
+  void setSettled(bool aSettled);
   void setLeaving();
 
   [[nodiscard]] HostId self() const { return m_options.m_self; }
@@ -133,10 +136,12 @@
   MembershipOptions m_options;
   EventLog& m_events;
   std::map<HostId, Peer> m_peers;
-  /// Sorted; holds this host exactly when it is established and not leaving.
+  /// Sorted; holds this host exactly when it is settled and not leaving.
   std::vector<HostId> m_candidates;
   std::map<ServiceId, Vote> m_votesCast;
   bool m_established{};
+  /// Implies m_established.
+  bool m_settled{};
   bool m_leaving{};
 };
 
--- a/lib/node/Node.cpp
+++ b/lib/node/Node.cpp
@@ -211,6 +211,7 @@
     establish(aNow);
     return;
   }
+  m_context.m_membership.setSettled(aNow - m_viewSince >= kSettleTime);
   m_decider.tick(aNow);
   m_owner.tick(aNow);
   deliverToSelf(aNow);
@@ -270,7 +271,8 @@
   for (auto& [id, service] : m_context.m_services) {
     m_decider.assumeWarm(*service);
   }
-  m_context.m_membership.setEstablished(true);
+  m_context.m_membership.setEstablished();
+  m_viewSince = aNow;
   m_context.m_events.add(aNow, EventId::MapAdopted, "computed from the settings; no host had one");
 }
 
@@ -304,6 +306,7 @@
   }
   m_path.setHeld(true);
   m_heldSince = aNow;
+  m_context.m_membership.setSettled(false);
   m_synced.clear();
   m_context.m_events.add(aNow,
                          EventId::DecisionsHeld,
@@ -314,6 +317,7 @@
 Node::endHold(TimePoint aNow, std::string_view aCause)
 {
   m_path.setHeld(false);
+  m_viewSince = aNow;
   m_context.m_events.add(aNow, EventId::DecisionsResumed, std::string(aCause));
 }
 
--- a/lib/node/Node.h
+++ b/lib/node/Node.h
@@ -19,6 +19,9 @@
 inline constexpr Millis kHoldLimit{ 3000 };
 /// A first host waits this long for others before it computes a map of its own.
 inline constexpr Millis kBootWait{ 2500 };
+/// A host that has just got its map, or woke late, decides nothing for this long: it has yet to
+/// hear every host that others hear.
+inline constexpr Millis kSettleTime{ 2000 };
 /// A planned stop lasts at least this long, so that every host has heard of it.
 inline constexpr Millis kLeaveTime{ 2000 };
 /// A report that says nothing new is sent to the deciding host this often.
@@ -133,6 +136,8 @@
   TimePoint m_startedAt;
   TimePoint m_tickedAt;
   TimePoint m_heldSince;
+  /// Since when this host hears the others without a break of its own.
+  TimePoint m_viewSince;
   TimePoint m_askedForMapAt;
   TimePoint m_reconciledAt;
   TimePoint m_digestSince;
--- a/lib/node/NodeMessages.cpp
+++ b/lib/node/NodeMessages.cpp
@@ -199,7 +199,8 @@
     }
     // The end of the answer to this host's request for all maps.
     computeMissingMaps(aNow);
-    m_context.m_membership.setEstablished(true);
+    m_context.m_membership.setEstablished();
+    m_viewSince = aNow;
     m_context.m_events.add(aNow, EventId::MapAdopted, "from host " + formatHost(aFrom));
     return;
   }
--- a/lib/node/NodeTest.cpp
+++ b/lib/node/NodeTest.cpp
@@ -42,7 +42,7 @@
       add();
     }
     publish(makeDocument());
-    run(Millis{ 4000 });
+    run(Millis{ 6000 });
   }
 
   size_t add()
@@ -469,3 +469,29 @@
   fleet.run(Millis{ 3000 });
   CHECK(fleet.m_nodes[late]->mapDigest() == fleet.m_nodes[0]->mapDigest());
 }
+
+TEST_CASE("a host that has just got its map neither decides nor changes owners")
+{
+  // Regression: a restarted host decided before it had heard the owner of moving buckets, and
+  // replaced an owner that was alive.
+  Fleet fleet(4);
+  fleet.publish(drained("u1"));
+  fleet.run(Millis{ 3000 });
+  const auto ownersOf = [&](size_t aHost) {
+    std::vector<HostId> owners;
+    for (const mapping::Bucket& bucket : fleet.service(aHost).m_map.buckets()) {
+      owners.push_back(bucket.m_owner);
+    }
+    return owners;
+  };
+  const auto before = ownersOf(0);
+  const size_t late = fleet.add();
+  for (int step = 0; step < 10; ++step) {
+    fleet.run(kTickInterval);
+    const auto& members = fleet.m_nodes[late]->context().m_membership;
+    CHECK(members.deciderOf(settings::makeServiceId("s")) != members.self());
+    CHECK(ownersOf(0) == before);
+  }
+  fleet.run(Millis{ 2500 });
+  CHECK(fleet.m_nodes[late]->context().m_membership.candidates().size() == 5);
+}
--- a/lib/node/OwnerDuty.cpp
+++ b/lib/node/OwnerDuty.cpp
@@ -15,6 +15,8 @@
 using mapping::PinBatch;
 
 constexpr Millis kSweepInterval{ 1000 };
+/// Pins of a bucket that was given away are kept for this long, for merging maps may give it back.
+constexpr Millis kReleaseGrace{ 5000 };
 /// Copies of learned flows need this long to reach the replica before a move is reported settled.
 constexpr Millis kSettleDelay{ 1500 };
 
@@ -95,6 +97,9 @@
   const HostId self = m_context.m_membership.self();
   aService.m_pins.eraseIf([&](FlowId aFlow, const Pin& aPin) {
     const Bucket& bucket = aService.m_map[aPin.m_bucket];
+    if (bucket.m_owner != self && bucket.m_replica != self) {
+      return aNow - aService.m_owned[aPin.m_bucket].m_releasedAt > kReleaseGrace;
+    }
     const bool isIdle = aNow - aPin.m_lastSeen > aService.m_settings.m_idleTimeout;
     if (bucket.m_owner != self || !isIdle) {
       return false;
@@ -160,7 +165,9 @@
       continue;
     }
     const OwnedBucket& owned = aService.m_owned[index];
-    const bool isEmpty = bucket.m_phase == Phase::Pinned && pins[index] == 0;
+    const bool isComplete =
+      aNow >= owned.m_handoverUntil && aNow - owned.m_ownedSince >= kHandoverWait;
+    const bool isEmpty = bucket.m_phase == Phase::Pinned && pins[index] == 0 && isComplete;
     const bool mayEnd = canSettle(aNow, aService, bucketIndex);
     if (mayEnd && !owned.m_settling) {
       starts[index] = true;
@@ -226,7 +233,7 @@
     const Bucket& bucket = aService.m_map[change.m_bucket];
     OwnedBucket& owned = aService.m_owned[change.m_bucket];
     if (bucket.m_owner != self) {
-      owned = {};
+      owned = { .m_releasedAt = aNow };
       continue;
     }
     const Bucket& before = change.m_before;
@@ -292,7 +299,7 @@
     const Bucket& bucket = aService.m_map[aPin.m_bucket];
     const Bucket& before = found->second->m_before;
     const bool isMine = bucket.m_owner == self;
-    if (bucket.m_phase == Phase::Stable || (!isMine && bucket.m_replica != self)) {
+    if (bucket.m_phase == Phase::Stable) {
       return true;
     }
     if (bucket.m_phase == Phase::Pinned && aPin.m_upstream == bucket.m_base) {
--- a/lib/node/ServiceState.h
+++ b/lib/node/ServiceState.h
@@ -36,6 +36,8 @@
 /// What this host remembers about a bucket that it owns.
 struct OwnedBucket
 {
+  /// When another host became the owner; the pins go some time later.
+  TimePoint m_releasedAt;
   /// Since when this host owns the bucket.
   TimePoint m_ownedSince;
   /// Since when every running flow of base has been seen here.
@@ -83,8 +85,8 @@
     return isLive(aUpstream) && !isLost;
   }
 
-  /// Operators asked the upstream to leave so long ago that no new flow may go there any more, moved
-  /// bucket or not.
+  /// Operators asked the upstream to leave so long ago that no new flow may go there any more,
+  /// moved bucket or not.
   [[nodiscard]] bool isDrainOver(UpstreamId aUpstream, TimePoint aNow) const
   {
     const UpstreamInfo* info = find(aUpstream);
--- a/lib/session/Baseline.cpp
+++ b/lib/session/Baseline.cpp
@@ -46,8 +46,8 @@
     return;
   }
   m_sweptAt = aNow;
-  boost::unordered::erase_if(m_flows,
-                 [&](const auto& aEntry) { return aNow - aEntry.second.m_lastSeen > kIdle; });
+  boost::unordered::erase_if(
+    m_flows, [&](const auto& aEntry) { return aNow - aEntry.second.m_lastSeen > kIdle; });
 }
 
 const settings::Service*
--- a/lib/wire/Codec.cpp
+++ b/lib/wire/Codec.cpp
@@ -61,6 +61,18 @@
     m_array.push_back(inner.take());
   }
 
+  /// Writes ascending numbers as gaps, most of which take one byte.
+  void ascending(const std::vector<uint16_t>& aNumbers)
+  {
+    Writer inner;
+    uint16_t before = 0;
+    for (const uint16_t number : aNumbers) {
+      inner.item(static_cast<uint16_t>(number - before));
+      before = number;
+    }
+    m_array.push_back(inner.take());
+  }
+
 private:
   Json m_array = Json::array();
 };
@@ -124,6 +136,16 @@
     fields(inner, aStruct);
   }
 
+  void ascending(std::vector<uint16_t>& aNumbers)
+  {
+    item(aNumbers);
+    uint16_t before = 0;
+    for (uint16_t& number : aNumbers) {
+      number = static_cast<uint16_t>(number + before);
+      before = number;
+    }
+  }
+
 private:
   static uint8_t mostOf(mapping::Phase) { return static_cast<uint8_t>(mapping::Phase::Pinned); }
   static uint8_t mostOf(admission::Mode) { return static_cast<uint8_t>(admission::Mode::Closed); }
@@ -167,7 +189,8 @@
     each(aArchive, value.m_base, value.m_current, value.m_owner, value.m_replica, value.m_stamp);
     each(aArchive, value.m_phase);
   } else if constexpr (Is<T, mapping::BucketGroup>) {
-    each(aArchive, value.m_value, value.m_buckets);
+    each(aArchive, value.m_value);
+    aArchive.ascending(value.m_buckets);
   } else if constexpr (Is<T, mapping::MapDelta>) {
     each(aArchive, value.m_service, value.m_isWhole, value.m_groups);
   } else if constexpr (Is<T, mapping::MapRequest>) {
@@ -200,7 +223,8 @@
     each(aArchive, value.m_hosts);
   } else if constexpr (Is<T, membership::Heartbeat>) {
     each(aArchive, value.m_from, value.m_incarnation, value.m_sentAt, value.m_echo);
-    each(aArchive, value.m_established, value.m_leaving, value.m_left, value.m_settingsRevision);
+    each(aArchive, value.m_established, value.m_settled, value.m_leaving, value.m_left);
+    each(aArchive, value.m_settingsRevision);
     each(aArchive, value.m_settingsAge, value.m_mapDigest, value.m_votes, value.m_channelEpoch);
     each(aArchive, value.m_channelLast, value.m_ackEpoch, value.m_ack);
   } else {
--- /dev/null
+++ b/lib/wire/CodecTest.cpp
@@ -0,0 +1,72 @@
+// Frames survive the way over the wire, and damaged ones are refused.
+#include "wire/Codec.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace tamarack;
+
+namespace {
+
+node::Frame
+makeFrame()
+{
+  node::Frame frame;
+  frame.m_heartbeat.m_from = HostId{ 77 };
+  frame.m_heartbeat.m_sentAt = TimePoint{ Millis{ 123'456 } };
+  frame.m_heartbeat.m_votes = { ServiceId{ 5 }, ServiceId{ 6 } };
+  frame.m_heartbeat.m_settled = true;
+  mapping::Bucket bucket{
+    .m_base = { 1 }, .m_current = { 2 }, .m_owner = { 3 }, .m_replica = { 4 }
+  };
+  bucket.m_phase = mapping::Phase::Moving;
+  frame.m_bodies = {
+    { 1, mapping::MapDelta{ .m_service = { 9 }, .m_groups = { { bucket, { 3, 70, 1000 } } } } },
+    { 2, mapping::PinBatch{ .m_service = { 9 }, .m_groups = { { { 2 }, { { 11 }, { 12 } } } } } },
+    { 3, admission::ModeUpdate{ .m_mode = admission::Mode::Closed, .m_coldFor = Millis{ 5 } } },
+    { 4, membership::HostIntroduction{ .m_hosts = { { { 8 }, "recife", true } } } },
+  };
+  return frame;
+}
+
+} // namespace
+
+TEST_CASE("a frame is the same after encoding and decoding")
+{
+  const node::Frame frame = makeFrame();
+  const auto decoded = wire::decodeFrame(wire::encodeFrame(frame));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->m_heartbeat.m_from == frame.m_heartbeat.m_from);
+  CHECK(decoded->m_heartbeat.m_sentAt == frame.m_heartbeat.m_sentAt);
+  CHECK(decoded->m_heartbeat.m_votes == frame.m_heartbeat.m_votes);
+  CHECK(decoded->m_heartbeat.m_settled);
+  REQUIRE(decoded->m_bodies.size() == 4);
+  const auto& delta = std::get<mapping::MapDelta>(decoded->m_bodies[0].m_body);
+  CHECK(delta.m_groups[0].m_value ==
+        std::get<mapping::MapDelta>(frame.m_bodies[0].m_body).m_groups[0].m_value);
+  CHECK(delta.m_groups[0].m_buckets == std::vector<uint16_t>{ 3, 70, 1000 });
+  const auto& pins = std::get<mapping::PinBatch>(decoded->m_bodies[1].m_body);
+  CHECK(pins.m_groups[0].m_flows == std::vector{ FlowId{ 11 }, FlowId{ 12 } });
+  CHECK(std::get<admission::ModeUpdate>(decoded->m_bodies[2].m_body).m_mode ==
+        admission::Mode::Closed);
+  CHECK(std::get<membership::HostIntroduction>(decoded->m_bodies[3].m_body).m_hosts[0].m_leaving);
+  CHECK(wire::encodeFrame(*decoded) == wire::encodeFrame(frame));
+}
+
+TEST_CASE("20,000 damaged frames are decoded or refused without a crash")
+{
+  const auto whole = wire::encodeFrame(makeFrame());
+  std::mt19937_64 random(20261204);
+  size_t refused = 0;
+  for (int round = 0; round < 20'000; ++round) {
+    auto bytes = whole;
+    for (uint64_t change = 1 + random() % 4; change > 0; --change) {
+      bytes[random() % bytes.size()] = static_cast<uint8_t>(random());
+    }
+    if (random() % 3 == 0) {
+      bytes.resize(random() % bytes.size());
+    }
+    refused += wire::decodeFrame(bytes).ok() ? 0 : 1;
+  }
+  CHECK(refused > 1000);
+}
