[node] Owners act under the map lease, and leases need a merged map

Change: without a lease an owner serves only flows that it knows. A map counts as merged once the peer's answer has arrived in order; equal digests at one moment never came while many moves settled, so owners went without a lease for 17 s.

--- a/lib/mapping/Bucket.h
+++ b/lib/mapping/Bucket.h
@@ -77,6 +77,8 @@
     uint64_t m_digest{};
   };
   std::vector<Entry> m_entries;
+  /// Before it in the channel went every map that the receiver lacked.
+  bool m_endsAnswer{};
 };
 
 /// Flows that do not follow their bucket's base, by where they go. A flow's bucket follows from its
--- a/lib/node/Node.h
+++ b/lib/node/Node.h
@@ -109,7 +109,11 @@
   void renewLease(TimePoint aNow, const membership::Heartbeat& aHeartbeat, const Channel& aChannel);
   void introduce(HostId aNewcomer);
   [[nodiscard]] OutgoingFrame makeFrame(TimePoint aNow, HostId aPeer);
-  [[nodiscard]] mapping::MapSummary summary() const;
+  [[nodiscard]] mapping::MapSummary summary(bool aEndsAnswer) const;
+  void sendMap(HostId aTo, const ServiceState& aService);
+  /// This host holds all that a peer held; from now on their channel keeps it so.
+  void noteSynced(HostId aPeer);
+  void askForSync(TimePoint aNow, HostId aPeer);
   void reconcileMaps(TimePoint aNow);
 
   void establish(TimePoint aNow);
@@ -146,6 +150,7 @@
   std::map<HostId, TimePoint> m_framedAt;
   /// Peers whose whole map this host has held; from then on their channel keeps it complete.
   std::set<HostId> m_synced;
+  std::map<HostId, TimePoint> m_askedForSyncAt;
   bool m_sendsHeartbeats{};
   TimePoint m_leavingSince;
   bool m_left{};
--- a/lib/node/NodeMessages.cpp
+++ b/lib/node/NodeMessages.cpp
@@ -84,7 +84,7 @@
       m_context.m_returned[aPeer] = aNow;
     }
     if (m_context.m_membership.isEstablished()) {
-      m_context.send(aPeer, summary());
+      m_context.send(aPeer, summary(false));
     }
   }
   if (aOutcome.m_newPeer) {
@@ -109,10 +109,10 @@
   }
   const HostId from = aHeartbeat.m_from;
   if (aHeartbeat.m_mapDigest == mapDigest()) {
-    m_synced.insert(from);
-    m_context.m_returned.erase(from);
+    noteSynced(from);
   }
   if (!m_synced.contains(from)) {
+    askForSync(aNow, from);
     return;
   }
   m_context.m_membership.renewLease(from);
@@ -121,6 +121,16 @@
   }
 }
 
+void
+Node::askForSync(TimePoint aNow, HostId aPeer)
+{
+  TimePoint& askedAt = m_askedForSyncAt[aPeer];
+  if (m_context.m_membership.isEstablished() && aNow - askedAt >= kReconcileInterval) {
+    askedAt = aNow;
+    m_context.send(aPeer, summary(false));
+  }
+}
+
 void
 Node::introduce(HostId aNewcomer)
 {
@@ -177,16 +187,19 @@
   for (const auto& [id, service] : m_context.m_services) {
     const bool isAsked = aRequest.m_services.empty() ||
                          std::ranges::find(aRequest.m_services, id) != aRequest.m_services.end();
-    if (!isAsked) {
-      continue;
-    }
-    m_context.send(aFrom, mapping::wholeMap(id, service->m_map));
-    for (const auto& [upstream, mode] : service->m_modes) {
-      m_context.send(aFrom, mode);
+    if (isAsked) {
+      sendMap(aFrom, *service);
     }
   }
-  if (aRequest.m_services.empty()) {
-    m_context.send(aFrom, summary());
+  m_context.send(aFrom, summary(true));
+}
+
+void
+Node::sendMap(HostId aTo, const ServiceState& aService)
+{
+  m_context.send(aTo, mapping::wholeMap(aService.id(), aService.m_map));
+  for (const auto& [upstream, mode] : aService.m_modes) {
+    m_context.send(aTo, mode);
   }
 }
 
@@ -194,7 +207,7 @@
 Node::receive(TimePoint aNow, HostId aFrom, const mapping::MapSummary& aSummary)
 {
   if (!m_context.m_membership.isEstablished()) {
-    if (!m_context.m_settings) {
+    if (!m_context.m_settings || !aSummary.m_endsAnswer) {
       return;
     }
     // The end of the answer to this host's request for all maps.
@@ -202,6 +215,11 @@
     m_context.m_membership.setEstablished();
     m_viewSince = aNow;
     m_context.m_events.add(aNow, EventId::MapAdopted, "from host " + formatHost(aFrom));
+    noteSynced(aFrom);
+    return;
+  }
+  if (aSummary.m_endsAnswer) {
+    noteSynced(aFrom);
     return;
   }
   mapping::MapRequest request;
@@ -211,14 +229,21 @@
       continue;
     }
     request.m_services.push_back(entry.m_service);
-    m_context.send(aFrom, mapping::wholeMap(entry.m_service, service->m_map));
-    for (const auto& [upstream, mode] : service->m_modes) {
-      m_context.send(aFrom, mode);
-    }
+    sendMap(aFrom, *service);
   }
-  if (!request.m_services.empty()) {
-    m_context.send(aFrom, std::move(request));
+  m_context.send(aFrom, summary(true));
+  if (request.m_services.empty()) {
+    noteSynced(aFrom);
+    return;
   }
+  m_context.send(aFrom, std::move(request));
+}
+
+void
+Node::noteSynced(HostId aPeer)
+{
+  m_synced.insert(aPeer);
+  m_context.m_returned.erase(aPeer);
 }
 
 void
@@ -327,9 +352,9 @@
 }
 
 mapping::MapSummary
-Node::summary() const
+Node::summary(bool aEndsAnswer) const
 {
-  mapping::MapSummary summary;
+  mapping::MapSummary summary{ .m_endsAnswer = aEndsAnswer };
   for (const auto& [id, service] : m_context.m_services) {
     summary.m_entries.push_back({ id, service->m_map.digest() });
   }
@@ -352,7 +377,7 @@
   for (const auto& [host, peer] : m_context.m_membership.peers()) {
     const bool differs = peer.m_alive && peer.m_established && peer.m_mapDigest != digest;
     if (differs && self < host && aNow - peer.m_digestSince >= kReconcileAfter) {
-      m_context.send(host, summary());
+      m_context.send(host, summary(false));
     }
   }
 }
--- a/lib/node/PacketPath.cpp
+++ b/lib/node/PacketPath.cpp
@@ -151,7 +151,11 @@
   if (pin != nullptr && !reopens && !upstreamLost) {
     return decideKnown(aNow, aService, aFlow, *pin);
   }
-  if (aNow < owned.m_handoverUntil) {
+  const membership::Membership& members = m_context.m_membership;
+  const bool hasLease = members.hasLease(members.deciderOf(aService.id()), aNow);
+  // Without a lease another host may own the bucket by now; only known flows are sure.
+  const bool isUnsure = !hasLease && !members.isAlone();
+  if (isUnsure || aNow < owned.m_handoverUntil) {
     return aFlow.m_opens ? waitOrRefuse(aArrival, aService, aFlow, ErrorKind::OwnerUnknown)
                          : refuse(aService, aFlow, ErrorKind::OwnerUnknown);
   }
--- a/lib/wire/Codec.cpp
+++ b/lib/wire/Codec.cpp
@@ -198,7 +198,7 @@
   } else if constexpr (Is<T, mapping::MapSummary::Entry>) {
     each(aArchive, value.m_service, value.m_digest);
   } else if constexpr (Is<T, mapping::MapSummary>) {
-    each(aArchive, value.m_entries);
+    each(aArchive, value.m_entries, value.m_endsAnswer);
   } else if constexpr (Is<T, mapping::PinGroup>) {
     each(aArchive, value.m_upstream, value.m_flows);
   } else if constexpr (Is<T, mapping::PinBatch>) {
