--- a/lib/admission/UpstreamTracker.cpp
+++ b/lib/admission/UpstreamTracker.cpp
@@ -27,12 +27,16 @@
   const bool restarted = answered && m_last && m_last->m_run != 0 && m_last->m_run != aReport.m_run;
   m_reportedAt = aNow;
   if (!answered) {
+    if (m_failingSince == TimePoint{}) {
+      m_failingSince = aNow;
+    }
     if (m_cold) {
       m_coldSince = aNow;
     }
     return;
   }
   m_answeredAt = aNow;
+  m_failingSince = {};
   m_connections = aReport.m_connections;
   if (aReport.m_claimsCold && !m_cold) {
     startCold(aNow);
@@ -61,7 +65,8 @@
   }
   Judgement judgement{ .m_mode = Mode::Open, .m_cold = m_cold, .m_reason = "warm" };
   const TimePoint evidence = std::max(m_answeredAt, m_trackedSince);
-  if (aNow - evidence > kLostTimeout) {
+  const bool isFailing = m_failingSince != TimePoint{} && aNow - m_failingSince >= kFailingTimeout;
+  if (isFailing || aNow - evidence > kSilenceTimeout) {
     judgement.m_mode = Mode::Closed;
     judgement.m_lost = true;
     judgement.m_reason = "probes fail";
--- a/lib/admission/UpstreamTracker.h
+++ b/lib/admission/UpstreamTracker.h
@@ -11,8 +11,10 @@
 
 namespace tamarack::admission {
 
-/// Without an answer for this long, an upstream is lost.
-inline constexpr Millis kLostTimeout{ 1500 };
+/// An upstream whose probes have failed for this long is lost.
+inline constexpr Millis kFailingTimeout{ 1000 };
+/// Without any report for this long, an upstream counts as lost.
+inline constexpr Millis kSilenceTimeout{ 3000 };
 /// A busy upstream stays closed for at least this long.
 inline constexpr Millis kBusyHold{ 1000 };
 /// Share of the connection limit at which admission is metered, in percent.
@@ -57,6 +59,8 @@
   TimePoint m_coldSince;
   TimePoint m_trackedSince;
   TimePoint m_answeredAt;
+  /// Since when all reports say that probes fail; zero while they do not.
+  TimePoint m_failingSince;
   TimePoint m_reportedAt;
   TimePoint m_busySince;
   bool m_busy{};
