--- a/lib/node/PacketPath.cpp
+++ b/lib/node/PacketPath.cpp
@@ -75,8 +75,7 @@
                                           : refuse(service, flow, ErrorKind::DecisionsHeld);
   }
   const Bucket& bucket = service.m_map[flow.m_bucket];
-  const bool isUnknown = !flow.m_opens && service.m_pins.find(flow.m_id) == nullptr;
-  if (!m_context.m_returned.empty() && isUnknown && m_context.isHealing(aNow)) {
+  if (!m_context.m_returned.empty() && isWaitingForMerge(aNow, service, flow)) {
     return refuse(service, flow, ErrorKind::MapsMerging);
   }
   if (bucket.m_phase == Phase::Stable) {
@@ -88,6 +87,13 @@
   return sendToOwner(aNow, aArrival, service, flow);
 }
 
+bool
+PacketPath::isWaitingForMerge(TimePoint aNow, ServiceState& aService, Flow aFlow) const
+{
+  const bool isUnknown = !aFlow.m_opens && aService.m_pins.find(aFlow.m_id) == nullptr;
+  return isUnknown && m_context.isHealing(aNow);
+}
+
 Decision
 PacketPath::decideStable(TimePoint aNow,
                          const Arrival& aArrival,
--- a/lib/node/PacketPath.h
+++ b/lib/node/PacketPath.h
@@ -89,6 +89,8 @@
     bool m_ends{};
   };
 
+  /// A returned peer may know a pin or a move of this running flow.
+  bool isWaitingForMerge(TimePoint aNow, ServiceState& aService, Flow aFlow) const;
   Decision decideStable(TimePoint aNow,
                         const Arrival& aArrival,
                         ServiceState& aService,
--- a/lib/node/ServiceState.h
+++ b/lib/node/ServiceState.h
@@ -19,7 +19,7 @@
 inline constexpr size_t kLearnedPercent = 60;
 
 /// New flows to a leaving upstream wait for the move of their bucket after this time.
-inline constexpr Millis kDrainLimit{ 2400 };
+inline constexpr Millis kDrainLimit{ 1900 };
 
 /// Facts about an upstream that follow from the settings alone.
 struct UpstreamInfo
--- a/lib/settings/Spreader.cpp
+++ b/lib/settings/Spreader.cpp
@@ -172,17 +172,16 @@
 Spreader::onFailure(TimePoint aNow, Source aSource)
 {
   SourceState& state = m_sources[aSource];
-  if (state.m_rest == kLeastRest) {
+  if (!state.m_failed) {
     m_events.add(aNow,
                  EventId::SettingsSourceFailed,
                  aSource.isPlatform() ? std::string("platform")
                                       : "peer " + formatHost(aSource.m_host));
   }
+  state.m_failed = true;
   state.m_waiting = false;
-  const auto jitter =
-    static_cast<int64_t>(m_random() % static_cast<uint64_t>(state.m_rest.count()));
-  state.m_restUntil = aNow + state.m_rest + Millis(jitter);
-  state.m_rest = std::min(2 * state.m_rest, kMostRest);
+  const auto jitter = static_cast<int64_t>(m_random() % static_cast<uint64_t>(kRest.count()));
+  state.m_restUntil = aNow + kRest + Millis(jitter);
 }
 
 void
--- a/lib/settings/Spreader.h
+++ b/lib/settings/Spreader.h
@@ -18,9 +18,8 @@
 inline constexpr Millis kWatchTime{ 2000 };
 /// A watch without an answer for this long has failed.
 inline constexpr Millis kWatchDeadline{ 3000 };
-/// A source that failed rests at least this long; the rest doubles up to the most.
-inline constexpr Millis kLeastRest{ 500 };
-inline constexpr Millis kMostRest{ 1000 };
+/// A source that failed rests at least this long, and up to twice as long by chance.
+inline constexpr Millis kRest{ 500 };
 /// Hosts of one data centre that watch the platform.
 inline constexpr size_t kReadersPerDataCentre = 2;
 /// Accepted forms that are kept to answer with a difference.
@@ -96,7 +95,8 @@
     bool m_waiting{};
     TimePoint m_askedAt;
     TimePoint m_restUntil;
-    Millis m_rest{ kLeastRest };
+    /// The newest attempt failed.
+    bool m_failed{};
   };
 
   [[nodiscard]] std::vector<HostId> readersOf(std::string_view aDataCentre) const;
