[node] Merge maps once each way; only map messages hold back a lease

Change: a summary is answered with what its sender lacks, and each side asks for itself; the heartbeat names the newest body that concerns maps.

--- a/bench/Capacity.cpp
+++ b/bench/Capacity.cpp
@@ -109,7 +109,7 @@
                                    .m_settingsAge = Millis{ 1500 },
                                    .m_mapDigest = UINT64_MAX,
                                    .m_channelEpoch = 1,
-                                   .m_channelLast = 100'000,
+                                   .m_channelBarrier = 100'000,
                                    .m_ackEpoch = 1,
                                    .m_ack = 100'000 };
   for (size_t index = 0; index < aVotes; ++index) {
--- a/lib/channel/PeerChannel.h
+++ b/lib/channel/PeerChannel.h
@@ -13,7 +13,7 @@
 namespace tamarack::channel {
 
 /// A body that was not acknowledged for this long is sent again.
-inline constexpr Millis kResendInterval{ 500 };
+inline constexpr Millis kResendInterval{ 400 };
 /// Bodies that may wait for an acknowledgement; the peer counts as lost beyond this.
 inline constexpr size_t kMaxWaiting = 4096;
 /// Bodies of one frame.
@@ -54,9 +54,15 @@
     ++m_epoch;
     m_last = 0;
     m_acked = 0;
+    m_barrier = 0;
     m_waiting.clear();
   }
 
+  /// The peer's lease depends on the body that was sent last.
+  void setBarrier() { m_barrier = m_last; }
+  /// The newest body on which the peer's lease depends.
+  [[nodiscard]] uint32_t barrier() const { return m_barrier; }
+
   /// Whether the peer has applied the body of a ticket.
   [[nodiscard]] bool isDelivered(const Ticket& aTicket) const
   {
@@ -100,7 +106,6 @@
     return !m_waiting.empty() && m_waiting.back().m_sentAt == TimePoint{};
   }
   [[nodiscard]] uint32_t epoch() const { return m_epoch; }
-  [[nodiscard]] uint32_t last() const { return m_last; }
   [[nodiscard]] size_t waiting() const { return m_waiting.size(); }
 
   /// Takes the bodies of a frame and returns those that are next in order.
@@ -157,6 +162,8 @@
   uint32_t m_epoch{ 1 };
   /// The sequence number of the newest body sent.
   uint32_t m_last{};
+  /// m_barrier <= m_last.
+  uint32_t m_barrier{};
   /// m_acked <= m_last.
   uint32_t m_acked{};
   /// Not yet acknowledged, in order of their sequence numbers.
--- a/lib/membership/Heartbeat.h
+++ b/lib/membership/Heartbeat.h
@@ -36,7 +36,7 @@
   std::vector<ServiceId> m_votes;
   /// Channel state, see channel::PeerChannel.
   uint32_t m_channelEpoch{};
-  uint32_t m_channelLast{};
+  uint32_t m_channelBarrier{};
   uint32_t m_ackEpoch{};
   uint32_t m_ack{};
 };
--- a/lib/node/Context.h
+++ b/lib/node/Context.h
@@ -32,7 +32,13 @@
       m_toSelf.push_back(std::move(aBody));
       return {};
     }
-    return m_channels[aTo].send(std::move(aBody));
+    Channel& channel = m_channels[aTo];
+    const bool concernsMaps = std::holds_alternative<mapping::MapDelta>(aBody);
+    const channel::Ticket ticket = channel.send(std::move(aBody));
+    if (concernsMaps) {
+      channel.setBarrier();
+    }
+    return ticket;
   }
 
   /// Queues a body for every alive peer.
--- a/lib/node/NodeMessages.cpp
+++ b/lib/node/NodeMessages.cpp
@@ -16,6 +16,8 @@
 /// Digests of two hosts must differ for this long before maps are exchanged.
 constexpr Millis kReconcileAfter{ 1500 };
 constexpr Millis kReconcileInterval{ 1000 };
+/// An answer that has not come after this time is asked for again.
+constexpr Millis kSyncInterval{ 2000 };
 
 } // namespace
 
@@ -83,9 +85,7 @@
     if (!m_path.isHeld()) {
       m_context.m_returned[aPeer] = aNow;
     }
-    if (m_context.m_membership.isEstablished()) {
-      m_context.send(aPeer, summary(false));
-    }
+    askForSync(aNow, aPeer);
   }
   if (aOutcome.m_newPeer) {
     introduce(aPeer);
@@ -104,7 +104,7 @@
 Node::renewLease(TimePoint aNow, const membership::Heartbeat& aHeartbeat, const Channel& aChannel)
 {
   if (!aHeartbeat.m_established ||
-      !aChannel.hasAll(aHeartbeat.m_channelEpoch, aHeartbeat.m_channelLast)) {
+      !aChannel.hasAll(aHeartbeat.m_channelEpoch, aHeartbeat.m_channelBarrier)) {
     return;
   }
   const HostId from = aHeartbeat.m_from;
@@ -125,7 +125,7 @@
 Node::askForSync(TimePoint aNow, HostId aPeer)
 {
   TimePoint& askedAt = m_askedForSyncAt[aPeer];
-  if (m_context.m_membership.isEstablished() && aNow - askedAt >= kReconcileInterval) {
+  if (m_context.m_membership.isEstablished() && aNow - askedAt >= kSyncInterval) {
     askedAt = aNow;
     m_context.send(aPeer, summary(false));
   }
@@ -222,21 +222,15 @@
     noteSynced(aFrom);
     return;
   }
-  mapping::MapRequest request;
+  // The sender lacks nothing after this answer. What this host lacks it asks for by a summary of
+  // its own.
   for (const mapping::MapSummary::Entry& entry : aSummary.m_entries) {
     const ServiceState* service = m_context.findService(entry.m_service);
-    if (service == nullptr || service->m_map.digest() == entry.m_digest) {
-      continue;
+    if (service != nullptr && service->m_map.digest() != entry.m_digest) {
+      sendMap(aFrom, *service);
     }
-    request.m_services.push_back(entry.m_service);
-    sendMap(aFrom, *service);
   }
   m_context.send(aFrom, summary(true));
-  if (request.m_services.empty()) {
-    noteSynced(aFrom);
-    return;
-  }
-  m_context.send(aFrom, std::move(request));
 }
 
 void
@@ -343,7 +337,7 @@
   }
   outgoing.m_frame.m_bodies = channel.takeDue(aNow);
   heartbeat.m_channelEpoch = channel.epoch();
-  heartbeat.m_channelLast = channel.last();
+  heartbeat.m_channelBarrier = channel.barrier();
   heartbeat.m_ackEpoch = channel.peerEpoch();
   heartbeat.m_ack = channel.received();
   channel.ackSent();
@@ -373,10 +367,9 @@
     return;
   }
   m_reconciledAt = aNow;
-  const HostId self = m_context.m_membership.self();
   for (const auto& [host, peer] : m_context.m_membership.peers()) {
     const bool differs = peer.m_alive && peer.m_established && peer.m_mapDigest != digest;
-    if (differs && self < host && aNow - peer.m_digestSince >= kReconcileAfter) {
+    if (differs && aNow - peer.m_digestSince >= kReconcileAfter) {
       m_context.send(host, summary(false));
     }
   }
--- a/lib/wire/Codec.cpp
+++ b/lib/wire/Codec.cpp
@@ -226,7 +226,7 @@
     each(aArchive, value.m_established, value.m_settled, value.m_leaving, value.m_left);
     each(aArchive, value.m_settingsRevision);
     each(aArchive, value.m_settingsAge, value.m_mapDigest, value.m_votes, value.m_channelEpoch);
-    each(aArchive, value.m_channelLast, value.m_ackEpoch, value.m_ack);
+    each(aArchive, value.m_channelBarrier, value.m_ackEpoch, value.m_ack);
   } else {
     static_assert(!sizeof(T), "a struct without a field list");
   }
