--- /dev/null
+++ b/lib/daemon/DaemonTest.cpp
@@ -0,0 +1,83 @@
+// Configuration files and the messages between the processes of one host.
+#include "daemon/HostConfig.h"
+#include "daemon/ProbeReports.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarack;
+using namespace tamarack::daemon;
+
+namespace {
+
+constexpr const char* kConfig = R"({
+  "address": "127.1.1.1", "data_centre": "recife", "platform": "127.9.0.1:7400",
+  "seeds": ["127.1.2.1"],
+  "ports": {"packets": 7000, "relay": 7001, "peers": 7100, "operators": 7200,
+            "settings": 7300, "probe": 7400, "health": 8080}
+})";
+
+node::ProbeTarget
+makeTarget()
+{
+  const Ipv4 address{ 0x0a000001 };
+  return { .m_service = settings::makeServiceId("feed"),
+           .m_upstream = settings::makeUpstreamId("feed", "f1", address, 2),
+           .m_address = address,
+           .m_serviceName = "feed",
+           .m_upstreamName = "f1" };
+}
+
+std::string
+makeHealth(int aGeneration, const char* aState)
+{
+  return R"({"service": "feed", "upstream": "f1", "generation": )" + std::to_string(aGeneration) +
+         R"(, "run": 9, "state": ")" + aState +
+         R"(", "sheds": false, "connections": 12, "busy_slots": 1})";
+}
+
+} // namespace
+
+TEST_CASE("a configuration is read, and each fault is named")
+{
+  const auto config = parseHostConfig(kConfig);
+  REQUIRE(config.ok());
+  CHECK(config->m_self == HostId{ 0x7f010101 });
+  CHECK(config->m_ports.m_health == 8080);
+  std::string bad = kConfig;
+  bad.replace(bad.find("7001"), 4, "0");
+  const auto refused = parseHostConfig(bad);
+  CHECK_FALSE(refused.ok());
+  CHECK(refused.status().message().find("/ports/relay") != std::string::npos);
+  CHECK_FALSE(parseHostConfig("{}").ok());
+  CHECK_FALSE(readHostConfig("no-such-file").ok());
+}
+
+TEST_CASE("a health answer counts only with the identity that was asked for")
+{
+  const auto warm = readHealth(makeTarget(), makeHealth(2, "warm"));
+  CHECK(warm.m_answered);
+  CHECK(warm.m_identityMatches);
+  CHECK(warm.m_connections == 12);
+  CHECK(readHealth(makeTarget(), makeHealth(2, "cold")).m_claimsCold);
+  CHECK(readHealth(makeTarget(), makeHealth(2, "draining")).m_draining);
+  const auto other = readHealth(makeTarget(), makeHealth(3, "warm"));
+  CHECK(other.m_answered);
+  CHECK_FALSE(other.m_identityMatches);
+  CHECK_FALSE(readHealth(makeTarget(), "busy").m_answered);
+  CHECK_FALSE(readHealth(makeTarget(), "").m_answered);
+  CHECK_FALSE(readHealth(makeTarget(), R"({"service": 5})").m_answered);
+}
+
+TEST_CASE("targets and reports survive the way between the processes")
+{
+  const auto targets = targetsFromText(targetsToText({ makeTarget() }));
+  REQUIRE(targets.ok());
+  REQUIRE(targets->size() == 1);
+  CHECK((*targets)[0].m_upstream == makeTarget().m_upstream);
+  const auto report = readHealth(makeTarget(), makeHealth(2, "cold"));
+  const auto reports = reportsFromText(reportsToText({ report }));
+  REQUIRE(reports.ok());
+  CHECK((*reports)[0] == report);
+  CHECK_FALSE(targetsFromText("[{}]").ok());
+  CHECK_FALSE(reportsFromText("nonsense").ok());
+}
--- a/lib/transport/Datagrams.h
+++ b/lib/transport/Datagrams.h
@@ -38,6 +38,7 @@
             std::span<const uint8_t> aBody);
   /// Sends what is queued. Datagrams that the kernel does not take are dropped and counted.
   void flush();
+  [[nodiscard]] uint16_t port() const { return m_socket.local_endpoint().port(); }
   [[nodiscard]] uint64_t dropped() const { return m_dropped; }
 
 private:
--- /dev/null
+++ b/lib/transport/TransportTest.cpp
@@ -0,0 +1,135 @@
+// Requests, late answers, uploads and datagrams over loopback sockets. Nothing depends on timing:
+// each test ends when the awaited call has come.
+#include "transport/Datagrams.h"
+#include "transport/H2.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarack;
+using namespace tamarack::transport;
+
+namespace {
+
+constexpr std::chrono::milliseconds kGenerous{ 30'000 };
+
+asio::ip::tcp::endpoint
+freeEndpoint(asio::io_context& aIo)
+{
+  asio::ip::tcp::acceptor probe(aIo, { asio::ip::make_address_v4("127.0.0.1"), 0 });
+  return probe.local_endpoint();
+}
+
+} // namespace
+
+TEST_CASE("a request reaches the server with its query, and the answer may come later")
+{
+  asio::io_context io;
+  const auto endpoint = freeEndpoint(io);
+  Responder later;
+  Server server(io, endpoint, [&](const Request& aRequest, const Responder& aRespond) {
+    CHECK(aRequest.m_path == "/state");
+    CHECK(aRequest.m_query.at("after") == "12");
+    CHECK(aRequest.m_body == "body");
+    later = aRespond;
+    asio::post(io, [&] {
+      later({ .m_status = 200, .m_body = std::string(300'000, 'x'), .m_revision = 13 });
+    });
+  });
+  Client client(io, endpoint);
+  Response response;
+  client.request(
+    { .m_method = "PUT", .m_path = "/state", .m_query = { { "after", "12" } }, .m_body = "body" },
+    kGenerous,
+    [&](const Response& aResponse) {
+      response = aResponse;
+      io.stop();
+    });
+  io.run();
+  CHECK(response.m_status == 200);
+  CHECK(response.m_revision == 13);
+  CHECK(response.m_body.size() == 300'000);
+}
+
+TEST_CASE("messages of an upload arrive whole and in order")
+{
+  asio::io_context io;
+  const auto endpoint = freeEndpoint(io);
+  std::vector<size_t> sizes;
+  Server server(
+    io,
+    endpoint,
+    [](const Request&, const Responder& aRespond) { aRespond({ .m_status = 404 }); },
+    [&](std::span<const uint8_t> aMessage) {
+      sizes.push_back(aMessage.size());
+      if (sizes.size() == 50) {
+        io.stop();
+      }
+    });
+  Client client(io, endpoint);
+  for (size_t count = 0; count < 50; ++count) {
+    client.sendMessage(std::vector<uint8_t>(count * 1000, uint8_t{ 7 }));
+  }
+  io.run();
+  REQUIRE(sizes.size() == 50);
+  for (size_t count = 0; count < 50; ++count) {
+    CHECK(sizes[count] == count * 1000);
+  }
+}
+
+TEST_CASE("a request to nobody is answered with status 0")
+{
+  asio::io_context io;
+  Client client(io, freeEndpoint(io));
+  Response response{ .m_status = 99 };
+  client.request({ .m_method = "GET", .m_path = "/" }, kGenerous, [&](const Response& aResponse) {
+    response = aResponse;
+    io.stop();
+  });
+  io.run();
+  CHECK(response.m_status == 0);
+}
+
+TEST_CASE("an answer that is late counts as none")
+{
+  asio::io_context io;
+  const auto endpoint = freeEndpoint(io);
+  std::vector<Responder> never;
+  Server server(
+    io, endpoint, [&](const Request&, const Responder& aRespond) { never.push_back(aRespond); });
+  Client client(io, endpoint);
+  Response response{ .m_status = 99 };
+  client.request({ .m_method = "GET", .m_path = "/" },
+                 std::chrono::milliseconds(50),
+                 [&](const Response& aResponse) {
+                   response = aResponse;
+                   io.stop();
+                 });
+  io.run();
+  CHECK(response.m_status == 0);
+}
+
+TEST_CASE("datagrams arrive with head and body in one piece")
+{
+  asio::io_context io;
+  DatagramSocket receiver(io, { asio::ip::make_address_v4("127.0.0.1"), 0 });
+  DatagramSocket sender(io, { asio::ip::make_address_v4("127.0.0.1"), 0 });
+  std::vector<uint8_t> received;
+  receiver.receive([&](auto aBytes) { received.assign(aBytes.begin(), aBytes.end()); },
+                   [&] { io.stop(); });
+  const std::vector<uint8_t> head{ 1, 2 };
+  const std::vector<uint8_t> body{ 3, 4, 5 };
+  sender.send(Ipv4{ 0x7f000001 }, receiver.port(), head, body);
+  sender.flush();
+  io.run();
+  CHECK(received == std::vector<uint8_t>{ 1, 2, 3, 4, 5 });
+  sender.send(Ipv4{ 0x7f000001 }, receiver.port(), head, std::vector<uint8_t>(kMaxDatagramBytes));
+  CHECK(sender.dropped() == 1);
+}
+
+TEST_CASE("addresses are read whole or refused")
+{
+  CHECK(parseEndpoint("127.0.0.1:80").port() == 80);
+  CHECK_THROWS(parseEndpoint("127.0.0.1"));
+  CHECK_THROWS(parseEndpoint("localhost:80"));
+  CHECK_THROWS(parseEndpoint("127.0.0.1:80x"));
+}
