--- a/lib/daemon/Program.cpp
+++ b/lib/daemon/Program.cpp
@@ -4,6 +4,7 @@
 #include "operator/Log.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <popt.h>
 
@@ -17,7 +18,7 @@
 
 struct Arguments
 {
-  const char* m_config{};
+  char* m_config{};
   int m_version{};
 };
 
@@ -88,6 +89,7 @@
     return status;
   }
   const auto config = readHostConfig(arguments.m_config);
+  std::free(arguments.m_config);
   if (!config.ok()) {
     std::cerr << aName << ": " << config.status().message() << "\n";
     return kExitUsage;
--- a/tools/tamarack-measure/Main.cpp
+++ b/tools/tamarack-measure/Main.cpp
@@ -2,6 +2,7 @@
 #include "session/Scenarios.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <popt.h>
@@ -18,10 +19,10 @@
 
 struct Arguments
 {
-  const char* m_scenario = "steady";
-  const char* m_deployment = "ventura";
-  const char* m_spray = "packet";
-  const char* m_policy = "tamarack";
+  std::string m_scenario = "steady";
+  std::string m_deployment = "ventura";
+  std::string m_spray = "packet";
+  std::string m_policy = "tamarack";
   long m_seed = 1;
   int m_hosts = 8;
   int m_flows = 33'000;
@@ -32,6 +33,39 @@
   double m_minutes = 3;
 };
 
+/// Texts that popt hands over; they are freed here.
+struct GivenTexts
+{
+  GivenTexts() = default;
+  GivenTexts(const GivenTexts&) = delete;
+  GivenTexts& operator=(const GivenTexts&) = delete;
+  ~GivenTexts()
+  {
+    for (char* text : { m_scenario, m_deployment, m_spray, m_policy }) {
+      std::free(text);
+    }
+  }
+
+  /// Puts the given texts in the places of the defaults.
+  void moveTo(Arguments& aArguments) const
+  {
+    const auto take = [](const char* aGiven, std::string& aTarget) {
+      if (aGiven != nullptr) {
+        aTarget = aGiven;
+      }
+    };
+    take(m_scenario, aArguments.m_scenario);
+    take(m_deployment, aArguments.m_deployment);
+    take(m_spray, aArguments.m_spray);
+    take(m_policy, aArguments.m_policy);
+  }
+
+  char* m_scenario{};
+  char* m_deployment{};
+  char* m_spray{};
+  char* m_policy{};
+};
+
 std::vector<std::string>
 splitNames(const std::string& aText)
 {
@@ -138,19 +172,20 @@
 main(int aCount, const char** aWords)
 {
   Arguments arguments;
+  GivenTexts given;
   const poptOption options[] = {
     { "scenario",
       0,
       POPT_ARG_STRING,
-      &arguments.m_scenario,
+      &given.m_scenario,
       0,
       "scenarios joined by +, or all",
       "NAME[+NAME]" },
     { "seed", 0, POPT_ARG_LONG, &arguments.m_seed, 0, "seed of the session", "N" },
     { "hosts", 0, POPT_ARG_INT, &arguments.m_hosts, 0, "number of entry hosts", "N" },
-    { "deployment", 0, POPT_ARG_STRING, &arguments.m_deployment, 0, "ventura or makaa", "NAME" },
-    { "spray", 0, POPT_ARG_STRING, &arguments.m_spray, 0, "packet or sticky", "NAME" },
-    { "policy", 0, POPT_ARG_STRING, &arguments.m_policy, 0, "tamarack or baseline", "NAME" },
+    { "deployment", 0, POPT_ARG_STRING, &given.m_deployment, 0, "ventura or makaa", "NAME" },
+    { "spray", 0, POPT_ARG_STRING, &given.m_spray, 0, "packet or sticky", "NAME" },
+    { "policy", 0, POPT_ARG_STRING, &given.m_policy, 0, "tamarack or baseline", "NAME" },
     { "minutes", 0, POPT_ARG_DOUBLE, &arguments.m_minutes, 0, "length of the session", "M" },
     { "flows", 0, POPT_ARG_INT, &arguments.m_flows, 0, "long flows that run at a time", "N" },
     { "new-flows", 0, POPT_ARG_INT, &arguments.m_newFlows, 0, "short flows a second", "N" },
@@ -172,6 +207,7 @@
     std::cerr << poptBadOption(context.get(), 0) << ": " << poptStrerror(status) << "\n";
     return kExitUsage;
   }
+  given.moveTo(arguments);
   if (arguments.m_list != 0) {
     listScenarios();
     return 0;
