--- a/lib/transport/Connection.cpp
+++ b/lib/transport/Connection.cpp
@@ -1,6 +1,7 @@
 // nghttp2 callbacks and the pump between socket and session.
 #include "transport/Connection.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace tamarack::transport {
@@ -514,7 +515,7 @@
   std::vector<uint8_t> framed(kLengthBytes + aMessage.size());
   const uint32_t length = htonl(static_cast<uint32_t>(aMessage.size()));
   std::memcpy(framed.data(), &length, kLengthBytes);
-  std::memcpy(framed.data() + kLengthBytes, aMessage.data(), aMessage.size());
+  std::copy(aMessage.begin(), aMessage.end(), framed.begin() + kLengthBytes);
   queue(stream, std::move(framed));
   nghttp2_session_resume_data(m_session, m_upload);
   write();
--- a/lib/transport/Datagrams.cpp
+++ b/lib/transport/Datagrams.cpp
@@ -1,7 +1,7 @@
 // recvmmsg and sendmmsg on the native handle of an Asio socket.
 #include "transport/Datagrams.h"
 
-#include <cstring>
+#include <algorithm>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -96,8 +96,8 @@
     return;
   }
   auto& bytes = m_out->m_bytes[m_queued];
-  std::memcpy(bytes.data(), aHead.data(), aHead.size());
-  std::memcpy(bytes.data() + aHead.size(), aBody.data(), aBody.size());
+  const auto bodyStart = std::copy(aHead.begin(), aHead.end(), bytes.begin());
+  std::copy(aBody.begin(), aBody.end(), bodyStart);
   m_out->m_vectors[m_queued].iov_len = aHead.size() + aBody.size();
   sockaddr_in& address = m_out->m_addresses[m_queued];
   address.sin_family = AF_INET;
