[transport] A client that is destroyed calls no handler

Cause: a balancer built with sanitizers ended a planned stop with a status other than 0. Reading the destructors: members go in reverse order, the client to the settings process after the timers, and its closing called back into the daemon, which set a timer that was gone. Only the exit status was seen, no report. Change: the destructor abandons the connection and drops its handlers. Measured: tests/end-to-end with the sanitizer build: failed before (a planned stop failed), status 0 after, once; transport test passes in both builds. Conclusion: settled as far as one run shows.

--- a/lib/transport/Connection.cpp
+++ b/lib/transport/Connection.cpp
@@ -348,6 +348,15 @@
   }
 }
 
+void
+Connection::abandon()
+{
+  for (auto& [id, stream] : m_streams) {
+    stream->m_onResponse = nullptr;
+  }
+  close();
+}
+
 Connection::Stream*
 Connection::find(int32_t aStream)
 {
--- a/lib/transport/Connection.h
+++ b/lib/transport/Connection.h
@@ -26,6 +26,8 @@
   void sendMessage(std::span<const uint8_t> aMessage);
   /// Ends the connection; waiting requests are answered with status 0.
   void close();
+  /// Ends the connection without calling any handler, for what they refer to is being destroyed.
+  void abandon();
   [[nodiscard]] bool isClosed() const { return m_closed; }
   [[nodiscard]] bool isConnected() const { return m_connected && !m_closed; }
 
--- a/lib/transport/H2.cpp
+++ b/lib/transport/H2.cpp
@@ -58,7 +58,9 @@
 
 Client::~Client()
 {
-  close();
+  if (m_connection) {
+    m_connection->abandon();
+  }
 }
 
 void
