--- a/cmake/Slices.cmake
+++ b/cmake/Slices.cmake
@@ -28,7 +28,7 @@
   endforeach()
   target_link_libraries(tamarack_${name} ${reach} ${SLICE_LIBRARIES})
 
-  if(tests)
+  if(tests AND NOT TAMARACK_EDGE_ONLY)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/tests/TestMain.cpp)
     target_link_libraries(${name}_test PRIVATE tamarack_${name})
     add_test(NAME ${name} COMMAND ${name}_test)
--- a/lib/base/Errors.cpp
+++ b/lib/base/Errors.cpp
@@ -48,6 +48,19 @@
     Silence,
     "The host woke late and has not heard the newest state." },
   { QueueFull, "queue-full", Silence, "A bounded queue of the process is full." },
+  { NoSuchRoute, "no-such-route", ResetNotRun, "No route has the address and port of a new flow." },
+  { RouteUnconfirmed,
+    "route-unconfirmed",
+    Silence,
+    "No route is known, but the records are too old to say so." },
+  { TokenUnknown,
+    "token-unknown",
+    Silence,
+    "The token of a packet names no upstream that this host knows." },
+  { UpstreamSilent,
+    "upstream-silent",
+    ResetOver,
+    "The upstream does not answer a request that may be repeated." },
 } };
 
 } // namespace
--- a/lib/base/Errors.h
+++ b/lib/base/Errors.h
@@ -28,6 +28,10 @@
   MapsMerging,
   DecisionsHeld,
   QueueFull,
+  NoSuchRoute,
+  RouteUnconfirmed,
+  TokenUnknown,
+  UpstreamSilent,
 };
 
 /// What the sender of the packet is told.
@@ -50,7 +54,7 @@
   std::string_view m_meaning;
 };
 
-inline constexpr size_t kErrorKindCount = 16;
+inline constexpr size_t kErrorKindCount = 20;
 
 /// The whole table, in the order of ErrorKind.
 [[nodiscard]] std::span<const ErrorRow, kErrorKindCount>
--- a/lib/daemon/BalancerDaemon.cpp
+++ b/lib/daemon/BalancerDaemon.cpp
@@ -1,10 +1,10 @@
 // The shell around the decision code of one host.
 #include "daemon/BalancerDaemon.h"
 
-#include "daemon/Clock.h"
+#include "base/Clock.h"
 #include "daemon/ProbeReports.h"
+#include "logging/Log.h"
 #include "operator/Dump.h"
-#include "operator/Log.h"
 #include "wire/Codec.h"
 
 #include <random>
@@ -88,7 +88,7 @@
   m_links.checkEchoes(now, m_node.context().m_membership);
   sendFrames(now);
   tellNewerPeer();
-  operating::logEvents(m_node.events().takeFresh());
+  logging::logEvents(m_node.events().takeFresh());
   if (m_node.hasLeft() && m_leftAt == TimePoint{}) {
     m_leftAt = now;
   }
@@ -163,8 +163,8 @@
       watchSettings();
       return;
     }
-    operating::logEvent(EventId::SettingsSourceFailed,
-                        "local settings process: " + std::string(outcome.status().message()));
+    logging::logEvent(EventId::SettingsSourceFailed,
+                      "local settings process: " + std::string(outcome.status().message()));
   }
   m_settingsProcess.close();
   m_watchTimer.expires_after(kWatchRetry);
@@ -221,7 +221,7 @@
       packets["dropped"][std::string(row.m_name)] = count;
     }
   }
-  const operating::Latency& latency = m_packets.latency();
+  const logging::Latency& latency = m_packets.latency();
   json["decision_ns"] = { { "timed", latency.count() },
                           { "p50", latency.quantile(0.5) },
                           { "p99", latency.quantile(0.99) } };
--- a/lib/daemon/HostConfig.cpp
+++ b/lib/daemon/HostConfig.cpp
@@ -1,11 +1,9 @@
 // Checked reading of the configuration file.
 #include "daemon/HostConfig.h"
 
+#include "program/Program.h"
 #include "settings/FieldReader.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace tamarack::daemon {
 
 namespace {
@@ -35,18 +33,6 @@
 
 } // namespace
 
-absl::StatusOr<std::string>
-readFile(const std::string& aFile)
-{
-  std::ifstream stream(aFile, std::ios::binary);
-  if (!stream) {
-    return absl::NotFoundError("cannot open " + aFile);
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 absl::StatusOr<HostConfig>
 parseHostConfig(std::string_view aText)
 {
@@ -84,7 +70,7 @@
 absl::StatusOr<HostConfig>
 readHostConfig(const std::string& aFile)
 {
-  const auto text = readFile(aFile);
+  const auto text = program::readFile(aFile);
   if (!text.ok()) {
     return text.status();
   }
--- a/lib/daemon/HostConfig.h
+++ b/lib/daemon/HostConfig.h
@@ -50,8 +50,4 @@
 [[nodiscard]] absl::StatusOr<HostConfig>
 parseHostConfig(std::string_view aText);
 
-/// Reads a whole file.
-[[nodiscard]] absl::StatusOr<std::string>
-readFile(const std::string& aFile);
-
 } // namespace tamarack::daemon
--- a/lib/daemon/PacketPorts.cpp
+++ b/lib/daemon/PacketPorts.cpp
@@ -1,7 +1,7 @@
 // Parsing, deciding and sending of packets.
 #include "daemon/PacketPorts.h"
 
-#include "daemon/Clock.h"
+#include "base/Clock.h"
 
 #include <cstring>
 
--- a/lib/daemon/PacketPorts.h
+++ b/lib/daemon/PacketPorts.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "daemon/HostConfig.h"
+#include "logging/Latency.h"
 #include "node/Node.h"
-#include "operator/Latency.h"
 #include "transport/Datagrams.h"
 
 #include <deque>
@@ -22,7 +22,7 @@
   /// Decides waiting packets that are due again.
   void retryDue(TimePoint aNow);
 
-  [[nodiscard]] const operating::Latency& latency() const { return m_latency; }
+  [[nodiscard]] const logging::Latency& latency() const { return m_latency; }
   [[nodiscard]] uint64_t dropped() const { return m_packets.dropped() + m_relay.dropped(); }
   [[nodiscard]] uint64_t received() const { return m_received; }
   /// Packets that were dropped before a decision, by kind.
@@ -51,7 +51,7 @@
   transport::DatagramSocket m_relay;
   /// In the order of their due times; at most kMaxWaitingPackets.
   std::deque<Waiting> m_waiting;
-  operating::Latency m_latency;
+  logging::Latency m_latency;
   ErrorCounters m_errors{};
   uint64_t m_received{};
 };
--- a/lib/daemon/ProbeDaemon.cpp
+++ b/lib/daemon/ProbeDaemon.cpp
@@ -1,7 +1,7 @@
 // Probing of upstreams over their health endpoints.
 #include "daemon/ProbeDaemon.h"
 
-#include "operator/Log.h"
+#include "logging/Log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -39,7 +39,7 @@
                aRespond({ .m_status = 404, .m_body = "no such path\n" });
              })
 {
-  operating::logEvent(EventId::ProcessStarted, "host " + formatIpv4(m_config.m_address));
+  logging::logEvent(EventId::ProcessStarted, "host " + formatIpv4(m_config.m_address));
   tick();
 }
 
--- a/lib/daemon/ProbeDaemon.h
+++ b/lib/daemon/ProbeDaemon.h
@@ -4,7 +4,7 @@
 
 #include "daemon/HostConfig.h"
 #include "daemon/ProbeReports.h"
-#include "operator/Latency.h"
+#include "logging/Latency.h"
 #include "transport/H2.h"
 
 namespace tamarack::daemon {
@@ -29,7 +29,7 @@
   std::vector<admission::UpstreamReport> m_reports;
   /// The newest report of each upstream, with its name.
   std::map<std::string, admission::UpstreamReport> m_last;
-  operating::Latency m_latency;
+  logging::Latency m_latency;
   uint64_t m_probes{};
   uint64_t m_failures{};
   asio::steady_timer m_timer;
--- a/lib/daemon/SettingsDaemon.cpp
+++ b/lib/daemon/SettingsDaemon.cpp
@@ -3,8 +3,8 @@
 // that answers 200 with the header x-revision, or 304 when nothing changed in time.
 #include "daemon/SettingsDaemon.h"
 
-#include "daemon/Clock.h"
-#include "operator/Log.h"
+#include "base/Clock.h"
+#include "logging/Log.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -46,7 +46,7 @@
                onRequest(aRequest, aRespond);
              })
 {
-  operating::logEvent(EventId::ProcessStarted, "host " + formatIpv4(m_config.m_address));
+  logging::logEvent(EventId::ProcessStarted, "host " + formatIpv4(m_config.m_address));
   tick();
 }
 
@@ -56,7 +56,7 @@
   const TimePoint now = readClock();
   startWatches(now);
   answerWatchers(now);
-  operating::logEvents(m_events.takeFresh());
+  logging::logEvents(m_events.takeFresh());
   m_timer.expires_after(kTick);
   m_timer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
--- /dev/null
+++ b/lib/dissemination/Peers.h
@@ -0,0 +1,144 @@
+// Which hosts of a region read the store for the others, and how new the records of this host are.
+//
+// A reader says so in each of its messages, and names the best hosts that it hears: those read,
+// too, and a reader that hears enough better ones stops. Seeds begin. Nothing is agreed on: two
+// views that differ cost some readings more, never a host that goes without. A host whose records
+// nobody confirms reads the store itself, whatever the others say.
+#pragma once
+
+#include "dissemination/Status.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <optional>
+#include <random>
+#include <span>
+
+namespace tamarack::dissemination {
+
+/// Two, so that the loss of one is not felt.
+inline constexpr size_t kReadersPerRegion = 2;
+/// Between two messages of a host to those that need them.
+inline constexpr Millis kStatusInterval{ 500 };
+/// A host that was silent for this long is no longer counted on: three messages.
+inline constexpr Millis kSilenceOfPeer{ 1700 };
+/// A host that was silent for this long is forgotten.
+inline constexpr Millis kForgetPeer{ 15'000 };
+/// A reader whose records were confirmed this long ago does not count as one.
+inline constexpr Millis kFreshAge{ 1600 };
+/// A host reads the store itself when nothing confirmed its records for this long. Bounds are 3 s,
+/// of which a reading may take one.
+inline constexpr Millis kOwnReadingAge{ 1500 };
+/// Hosts that lost their readers at the same time wait a little differently, so that the first one
+/// can tell the others: this many steps of this length.
+inline constexpr Millis kDelayStep{ 60 };
+inline constexpr uint64_t kDelaySteps = 8;
+/// A reader stops only after others have been enough for this long.
+inline constexpr Millis kReaderHold{ 2000 };
+/// Seeds are greeted this often while too few hosts are known, and rarely after.
+inline constexpr Millis kSeedInterval{ 1000 };
+inline constexpr Millis kSeedIntervalWhenSettled{ 10'000 };
+/// Hosts that a message names besides its sender.
+inline constexpr size_t kKnownPerStatus = 6;
+/// Hosts that are remembered; a region of the design size has 160.
+inline constexpr size_t kMostPeers = 512;
+
+struct PeersOptions
+{
+  HostId m_self;
+  std::string m_region;
+  std::string m_dataCentre;
+  uint32_t m_capacity{};
+  uint64_t m_incarnation{};
+  std::vector<HostId> m_seeds;
+};
+
+/// What a message asks of this host.
+struct Reaction
+{
+  /// The sender holds newer records than this host: ask it for them.
+  bool m_isPullDue{};
+  /// The sender is new here or behind: answer with a status.
+  bool m_isAnswerDue{};
+};
+
+class Peers
+{
+public:
+  explicit Peers(PeersOptions aOptions);
+
+  Reaction onStatus(TimePoint aNow, const Status& aStatus, registry::Revision aOwnRevision);
+  /// The store confirmed this host's own records.
+  void onOwnConfirmation(TimePoint aAt);
+  /// The records of this host reached a revision, by whatever way.
+  void onRevision(registry::Revision aRevision);
+
+  /// Decides whether this host reads the store now. Call it at each tick.
+  [[nodiscard]] bool updateReading(TimePoint aNow);
+  [[nodiscard]] bool isReader() const { return m_isReader; }
+  /// A leaving host reads for itself but not for others.
+  void setLeaving() { m_isLeaving = true; }
+  void setSeeds(std::vector<HostId> aSeeds) { m_options.m_seeds = std::move(aSeeds); }
+
+  /// When all changes up to this host's revision were last confirmed; the epoch before.
+  [[nodiscard]] TimePoint confirmedAt() const { return m_confirmedAt; }
+
+  /// Whom to send a status now, and whether it is one of the regular ones.
+  [[nodiscard]] std::vector<HostId> dueTargets(TimePoint aNow);
+  /// Whom to send what just changed, when this host reads the store.
+  [[nodiscard]] std::vector<HostId> listeners(TimePoint aNow) const;
+  /// A status of this host; sightings and a difference are up to the caller.
+  [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision);
+
+  /// Live hosts of the region that this host hears.
+  [[nodiscard]] std::vector<HostId> live(TimePoint aNow) const;
+  /// Live readers of the region without this host.
+  [[nodiscard]] std::vector<HostId> readers(TimePoint aNow) const;
+  [[nodiscard]] size_t freshReaders(TimePoint aNow) const;
+  [[nodiscard]] size_t size() const { return m_peers.size(); }
+
+private:
+  struct Peer
+  {
+    std::string m_region;
+    std::string m_dataCentre;
+    uint64_t m_incarnation{};
+    uint32_t m_capacity{};
+    bool m_isReader{};
+    /// The epoch when it is only known from others.
+    TimePoint m_heardAt;
+    /// When the store confirmed its records; the epoch before.
+    TimePoint m_confirmedAt;
+    registry::Revision m_revision{};
+    TimePoint m_answeredAt;
+    /// Of a reader: it named this host as one that should read.
+    bool m_nominatesSelf{};
+  };
+
+  [[nodiscard]] bool isLive(TimePoint aNow, const Peer& aPeer) const;
+  [[nodiscard]] bool isFreshReader(TimePoint aNow, const Peer& aPeer) const;
+  /// Whether a peer is preferred to this host as a reader.
+  [[nodiscard]] bool isBetter(HostId aHost, const Peer& aPeer) const;
+  /// Whether this host should begin to read for others.
+  [[nodiscard]] bool isElected(TimePoint aNow) const;
+  [[nodiscard]] std::vector<HostId> nominees(TimePoint aNow) const;
+  void meet(HostId aHost, const std::string& aRegion);
+  void forgetSilent(TimePoint aNow);
+  void confirmThrough(const Peer& aPeer);
+
+  PeersOptions m_options;
+  absl::flat_hash_map<HostId, Peer> m_peers;
+  std::minstd_rand m_random;
+  bool m_isReader{};
+  bool m_isLeaving{};
+  /// When enough better readers were first seen; the epoch when there are not enough.
+  TimePoint m_dispensableSince;
+  /// Everybody known is told once that this host reads now.
+  bool m_isAnnouncementDue{};
+  TimePoint m_startedAt;
+  TimePoint m_confirmedAt;
+  registry::Revision m_revision{};
+  TimePoint m_lastStatusAt;
+  TimePoint m_lastSeedAt;
+};
+
+} // namespace tamarack::dissemination
--- /dev/null
+++ b/lib/dissemination/Status.h
@@ -0,0 +1,58 @@
+// The one message that hosts send each other in datagrams: who the sender is, how new its records
+// are, and, when it fits, what changed in them.
+#pragma once
+
+#include "registry/Registry.h"
+
+#include <absl/status/statusor.h>
+
+namespace tamarack::dissemination {
+
+/// A datagram of this size is not fragmented on the usual links.
+inline constexpr size_t kMaxStatusBytes = 1350;
+
+/// A host that the sender has heard lately.
+struct KnownHost
+{
+  HostId m_host;
+  std::string m_region;
+};
+
+/// A callers' sign of life or silence of an upstream.
+struct Sighting
+{
+  uint32_t m_token{};
+  bool m_isAlive{};
+};
+
+struct Status
+{
+  HostId m_sender;
+  std::string m_region;
+  std::string m_dataCentre;
+  /// Rises with each start of the process.
+  uint64_t m_incarnation{};
+  /// Thousandths of a core; hosts with room read the store for others.
+  uint32_t m_capacity{};
+  bool m_isReader{};
+  bool m_isLeaving{};
+  /// The sender holds all changes up to this revision.
+  registry::Revision m_revision{};
+  /// How long ago the store confirmed that; negative before it ever did.
+  int64_t m_ageMs{ -1 };
+  /// Random live hosts that the sender hears.
+  std::vector<KnownHost> m_known;
+  /// Of a reader: the hosts of its region that should read, by rank, among those that it hears.
+  std::vector<HostId> m_nominees;
+  std::vector<Sighting> m_sightings;
+  /// An encoded registry::Difference, or nothing.
+  std::vector<uint8_t> m_difference;
+};
+
+[[nodiscard]] std::vector<uint8_t>
+encodeStatus(const Status& aStatus);
+
+[[nodiscard]] absl::StatusOr<Status>
+decodeStatus(std::span<const uint8_t> aBytes);
+
+} // namespace tamarack::dissemination
--- /dev/null
+++ b/lib/edge/EdgeSettings.h
@@ -0,0 +1,58 @@
+// The settings file of the edge process: who the host is, where it is reached, and where it finds
+// the store and other hosts.
+#pragma once
+
+#include "base/Address.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <vector>
+
+namespace tamarack::edge {
+
+/// An IPv4 address and a port.
+struct Endpoint
+{
+  Ipv4 m_address;
+  uint16_t m_port{};
+
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+};
+
+struct EdgeSettings
+{
+  std::string m_host;
+  std::string m_dataCentre;
+  std::string m_region;
+  /// Datagrams with packets. Packets for callers go to the same port number.
+  Endpoint m_packets;
+  Endpoint m_readiness;
+  std::string m_readinessPath;
+  /// HTTP/2: differences for other hosts, dumps and explanations for operators.
+  Endpoint m_control;
+  Endpoint m_metrics;
+  /// Datagrams between hosts; the same port on all of them.
+  uint16_t m_peerPort{};
+  Endpoint m_store;
+  std::vector<HostId> m_seeds;
+  /// Share of a core.
+  double m_cpuShare{ 1.0 };
+  /// From the request to stop to its forced end.
+  Millis m_stopLimit{};
+  double m_coldFactor{ 1.0 };
+  double m_coldSlack{};
+  /// Flows that are remembered to recognise repeated packets.
+  size_t m_flowPlaces{};
+
+  friend bool operator==(const EdgeSettings&, const EdgeSettings&) = default;
+};
+
+/// Reads the text of a settings file. The error names every fault with its JSON path.
+[[nodiscard]] absl::StatusOr<EdgeSettings>
+parseEdgeSettings(std::string_view aText);
+
+/// Reads a settings file.
+[[nodiscard]] absl::StatusOr<EdgeSettings>
+readEdgeSettings(const std::string& aFile);
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/lib/edge/Host.cpp
@@ -0,0 +1,228 @@
+// Hands what comes in to the slices, and keeps their views of each other up to date.
+#include "edge/Host.h"
+
+#include "registry/RecordCodec.h"
+
+#include <algorithm>
+
+namespace tamarack::edge {
+
+namespace {
+
+/// A difference larger than this is fetched by those that lack it; a status without one is smaller.
+constexpr size_t kInlineDifferenceBytes = 1000;
+
+} // namespace
+
+Host::Host(HostOptions aOptions)
+  : m_directory(aOptions.m_peers.m_dataCentre)
+  , m_coldBudget(aOptions.m_peers.m_self, aOptions.m_coldLimits)
+  , m_placement(m_directory, m_coldBudget, aOptions.m_seed)
+  , m_steering(m_directory, m_placement, aOptions.m_flowPlaces)
+  , m_peers(std::move(aOptions.m_peers))
+{
+}
+
+void
+Host::onReading(TimePoint aNow,
+                const registry::Reading& aReading,
+                bool aIsDisturbed,
+                TimePoint aConfirmedAt)
+{
+  for (const std::string& refused : aReading.m_refused) {
+    note(EventId::RecordRefused, "item=\"" + refused + "\"");
+  }
+  onChanges(aNow, m_registry.merge(aReading, aIsDisturbed));
+  m_peers.onRevision(m_registry.complete());
+  if (aConfirmedAt != TimePoint{}) {
+    m_peers.onOwnConfirmation(aConfirmedAt);
+  }
+  refreshView(aNow);
+}
+
+void
+Host::onDifference(TimePoint aNow, const registry::Difference& aDifference)
+{
+  onChanges(aNow, m_registry.merge(aDifference));
+  m_peers.onRevision(m_registry.complete());
+  refreshView(aNow);
+}
+
+void
+Host::onChanges(TimePoint aNow, std::span<const registry::Change> aChanges)
+{
+  if (m_loadedAt == TimePoint{} && isLoaded()) {
+    m_loadedAt = aNow;
+    note(EventId::RecordsLoaded,
+         "revision=" + std::to_string(m_registry.complete()) +
+           " records=" + std::to_string(m_registry.size()));
+  }
+  m_directory.apply(aNow, aChanges);
+}
+
+dissemination::Reaction
+Host::onStatus(TimePoint aNow, const dissemination::Status& aStatus)
+{
+  if (!aStatus.m_difference.empty()) {
+    const auto difference = registry::decodeDifference(aStatus.m_difference);
+    if (difference.ok()) {
+      onDifference(aNow, *difference);
+    } else {
+      note(EventId::RecordRefused,
+           "host=" + formatHost(aStatus.m_sender) + " item=\"" +
+             std::string(difference.status().message()) + "\"");
+    }
+  }
+  const dissemination::Reaction reaction = m_peers.onStatus(aNow, aStatus, m_registry.complete());
+  for (const dissemination::Sighting& sighting : aStatus.m_sightings) {
+    onSighting(aNow, sighting);
+  }
+  refreshView(aNow);
+  return reaction;
+}
+
+void
+Host::onSighting(TimePoint aNow, const dissemination::Sighting& aSighting)
+{
+  steering::Upstream* const upstream =
+    m_directory.findUpstream(steering::Token{ aSighting.m_token });
+  if (upstream == nullptr) {
+    return;
+  }
+  if (aSighting.m_isAlive) {
+    upstream->m_health.onReportedProgress();
+    return;
+  }
+  const bool isNews = upstream->m_health.onReportedSilence(aNow);
+  if (isNews && m_isReader && m_sightings.size() < kMostSightings) {
+    m_sightings.push_back(aSighting);
+  }
+}
+
+void
+Host::collectSightings()
+{
+  const auto events = m_steering.events().events();
+  for (; m_sightedEvents < events.size(); ++m_sightedEvents) {
+    const steering::FlowEvent& event = events[m_sightedEvents];
+    const bool isSilence = event.m_event == EventId::UpstreamAvoided;
+    const bool isProgress = event.m_event == EventId::UpstreamAnswers;
+    if ((isSilence || isProgress) && m_sightings.size() < kMostSightings) {
+      m_sightings.push_back({ event.m_token.m_value, isProgress });
+    }
+  }
+}
+
+void
+Host::refreshView(TimePoint aNow)
+{
+  m_steering.setView({ .m_revision = m_registry.complete(),
+                       .m_confirmedAt = m_peers.confirmedAt(),
+                       .m_loadedAt = m_loadedAt });
+  const bool isStale = isLoaded() && viewAge(aNow) > steering::kTrustedViewAge;
+  if (isStale != m_isViewStale && aNow - m_loadedAt > steering::kTrustedViewAge) {
+    m_isViewStale = isStale;
+    note(isStale ? EventId::ViewStale : EventId::ViewFresh,
+         "revision=" + std::to_string(m_registry.complete()) +
+           " view_age_ms=" + std::to_string(viewAge(aNow).count()));
+  }
+}
+
+Millis
+Host::viewAge(TimePoint aNow) const
+{
+  return aNow - m_peers.confirmedAt();
+}
+
+void
+Host::tick(TimePoint aNow)
+{
+  m_directory.tick(aNow);
+  const bool isReader = m_peers.updateReading(aNow);
+  if (isReader != m_isReader) {
+    m_isReader = isReader;
+    note(isReader ? EventId::ReadingStarted : EventId::ReadingStopped,
+         "other_readers=" + std::to_string(m_peers.freshReaders(aNow)) +
+           " hosts=" + std::to_string(m_peers.size()) +
+           " view_age_ms=" + std::to_string(viewAge(aNow).count()));
+  }
+  const auto readers = m_peers.readers(aNow);
+  m_coldBudget.setReaders(m_isReader, readers);
+  refreshView(aNow);
+  collectSightings();
+}
+
+void
+Host::note(EventId aEvent, std::string aFields)
+{
+  m_lines.push_back({ aEvent, std::move(aFields) });
+}
+
+std::vector<uint8_t>
+Host::makeStatus(TimePoint aNow)
+{
+  collectSightings();
+  dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete());
+  status.m_sightings = m_sightings;
+  if (m_isReader && m_pushedRevision > 0 && m_pushedRevision < m_registry.complete()) {
+    std::vector<uint8_t> difference =
+      registry::encodeDifference(m_registry.changesSince(m_pushedRevision));
+    if (difference.size() <= kInlineDifferenceBytes) {
+      status.m_difference = std::move(difference);
+    }
+  }
+  return dissemination::encodeStatus(status);
+}
+
+bool
+Host::hasNews() const
+{
+  return !m_sightings.empty() || m_registry.complete() > m_pushedRevision;
+}
+
+void
+Host::onPushed()
+{
+  m_sightings.clear();
+  m_pushedRevision = m_registry.complete();
+}
+
+std::vector<Line>
+Host::takeLines(TimePoint aNow)
+{
+  std::vector<Line> lines = std::exchange(m_lines, {});
+  for (steering::Belief& belief : m_directory.takeBeliefs()) {
+    lines.push_back({ belief.m_event, std::move(belief.m_fields) });
+  }
+  takeFlowLines(aNow, lines);
+  return lines;
+}
+
+void
+Host::takeFlowLines(TimePoint aNow, std::vector<Line>& aLines)
+{
+  collectSightings();
+  const double seconds = static_cast<double>((aNow - m_lineBudgetAt).count()) / 1000;
+  m_lineBudget = std::min(kFlowLineBurst, m_lineBudget + seconds * kFlowLinesPerSecond);
+  m_lineBudgetAt = aNow;
+  steering::FlowEvents& events = m_steering.events();
+  for (const steering::FlowEvent& event : events.events()) {
+    if (m_lineBudget < 1) {
+      ++m_omittedLines;
+      continue;
+    }
+    m_lineBudget -= 1;
+    aLines.push_back({ event.m_event, steering::formatFlowEvent(event) });
+  }
+  events.clear();
+  m_sightedEvents = 0;
+  const uint64_t omitted = m_omittedLines + events.lost();
+  if (omitted > m_reportedOmittedLines && m_lineBudget >= 1) {
+    m_lineBudget -= 1;
+    aLines.push_back(
+      { EventId::LinesOmitted, "lines=" + std::to_string(omitted - m_reportedOmittedLines) });
+    m_reportedOmittedLines = omitted;
+  }
+}
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/lib/edge/Host.h
@@ -0,0 +1,103 @@
+// Everything that one host decides and believes when it steers by token, without any I/O: packets,
+// readings, messages and the time go in; choices, messages and log lines come out.
+#pragma once
+
+#include "dissemination/Peers.h"
+#include "registry/Registry.h"
+#include "steering/TokenSteering.h"
+
+namespace tamarack::edge {
+
+/// Log lines about flows that a host writes in a second, and at once after a quiet time. A host at
+/// the design size opens 110 flows a second.
+inline constexpr double kFlowLinesPerSecond = 120;
+inline constexpr double kFlowLineBurst = 240;
+/// Sightings that wait for the next message.
+inline constexpr size_t kMostSightings = 32;
+
+struct HostOptions
+{
+  dissemination::PeersOptions m_peers;
+  steering::ColdLimits m_coldLimits;
+  size_t m_flowPlaces{};
+  uint64_t m_seed{};
+};
+
+/// One line for the log.
+struct Line
+{
+  EventId m_event;
+  std::string m_fields;
+};
+
+class Host
+{
+public:
+  explicit Host(HostOptions aOptions);
+
+  [[nodiscard]] steering::Choice decide(TimePoint aNow, const steering::FlowPacket& aPacket)
+  {
+    return m_steering.decide(aNow, aPacket);
+  }
+
+  /// Takes an answer of the store in. `aConfirmedAt`: the store held nothing newer then; the epoch
+  /// when the answer may be old.
+  void onReading(TimePoint aNow,
+                 const registry::Reading& aReading,
+                 bool aIsDisturbed,
+                 TimePoint aConfirmedAt);
+  void onDifference(TimePoint aNow, const registry::Difference& aDifference);
+  dissemination::Reaction onStatus(TimePoint aNow, const dissemination::Status& aStatus);
+  void tick(TimePoint aNow);
+  /// Something that this host came to believe, for the log.
+  void note(EventId aEvent, std::string aFields);
+
+  /// A status with what changed since the last one that was pushed, when that fits.
+  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow);
+  [[nodiscard]] bool hasNews() const;
+  /// The next status goes on from here.
+  void onPushed();
+
+  /// Whether the host knows routes and upstreams.
+  [[nodiscard]] bool isLoaded() const { return m_registry.complete() > 0; }
+  [[nodiscard]] bool isReader() const { return m_isReader; }
+  [[nodiscard]] Millis viewAge(TimePoint aNow) const;
+  [[nodiscard]] std::vector<Line> takeLines(TimePoint aNow);
+
+  [[nodiscard]] const registry::Registry& registry() const { return m_registry; }
+  [[nodiscard]] const steering::Directory& directory() const { return m_directory; }
+  [[nodiscard]] dissemination::Peers& peers() { return m_peers; }
+  [[nodiscard]] const dissemination::Peers& peers() const { return m_peers; }
+  [[nodiscard]] steering::TokenSteering& steering() { return m_steering; }
+  [[nodiscard]] const steering::TokenSteering& steering() const { return m_steering; }
+  [[nodiscard]] uint64_t omittedLines() const { return m_omittedLines; }
+
+private:
+  void onChanges(TimePoint aNow, std::span<const registry::Change> aChanges);
+  void refreshView(TimePoint aNow);
+  void takeFlowLines(TimePoint aNow, std::vector<Line>& aLines);
+  void collectSightings();
+  void onSighting(TimePoint aNow, const dissemination::Sighting& aSighting);
+
+  registry::Registry m_registry;
+  steering::Directory m_directory;
+  steering::ColdBudget m_coldBudget;
+  steering::Placement m_placement;
+  steering::TokenSteering m_steering;
+  dissemination::Peers m_peers;
+  std::vector<Line> m_lines;
+  /// For the next status.
+  std::vector<dissemination::Sighting> m_sightings;
+  /// Events of the steering that were looked through for sightings.
+  size_t m_sightedEvents{};
+  registry::Revision m_pushedRevision{};
+  TimePoint m_loadedAt;
+  bool m_isReader{};
+  bool m_isViewStale{};
+  double m_lineBudget{ kFlowLineBurst };
+  TimePoint m_lineBudgetAt;
+  uint64_t m_omittedLines{};
+  uint64_t m_reportedOmittedLines{};
+};
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/lib/edge/PeerLink.cpp
@@ -0,0 +1,176 @@
+// Sending, receiving and pulling.
+#include "edge/PeerLink.h"
+
+#include "base/Clock.h"
+#include "registry/RecordCodec.h"
+
+#include <charconv>
+
+namespace tamarack::edge {
+
+namespace {
+
+/// A peer in the same region that is up answers within milliseconds; a snapshot of the design size
+/// takes a 10 Mbit/s link most of a second.
+constexpr Millis kPullDeadline{ 1200 };
+
+uint64_t
+numberOf(const transport::Request& aRequest, const std::string& aName)
+{
+  const auto found = aRequest.m_query.find(aName);
+  uint64_t number = 0;
+  if (found != aRequest.m_query.end()) {
+    const std::string& text = found->second;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  }
+  return number;
+}
+
+} // namespace
+
+PeerLink::PeerLink(asio::io_context& aIo,
+                   const EdgeSettings& aSettings,
+                   Host& aHost,
+                   ProcessCounters& aCounters)
+  : m_io(aIo)
+  , m_peerPort(aSettings.m_peerPort)
+  , m_controlPort(aSettings.m_control.m_port)
+  , m_host(aHost)
+  , m_counters(aCounters)
+  , m_socket(aIo,
+             { asio::ip::address_v4(aSettings.m_packets.m_address.m_value), aSettings.m_peerPort })
+  , m_control(
+      aIo,
+      { asio::ip::address_v4(aSettings.m_control.m_address.m_value), aSettings.m_control.m_port },
+      [this](const transport::Request& aRequest, const transport::Responder& aRespond) {
+        aRespond(onRequest(aRequest));
+      })
+{
+  m_socket.receive([this](auto aBytes) { onDatagram(aBytes); }, [this] { m_socket.flush(); });
+}
+
+void
+PeerLink::step(TimePoint aNow)
+{
+  const auto targets = m_host.peers().dueTargets(aNow);
+  if (!targets.empty()) {
+    send(m_host.makeStatus(aNow), targets);
+    m_host.onPushed();
+    return;
+  }
+  push(aNow);
+}
+
+void
+PeerLink::push(TimePoint aNow)
+{
+  if (!m_host.hasNews()) {
+    return;
+  }
+  // A reader tells everybody; any other host tells the readers, which pass sightings on.
+  const auto targets =
+    m_host.isReader() ? m_host.peers().listeners(aNow) : m_host.peers().readers(aNow);
+  if (!targets.empty()) {
+    send(m_host.makeStatus(aNow), targets);
+  }
+  m_host.onPushed();
+}
+
+void
+PeerLink::announce(TimePoint aNow)
+{
+  send(m_host.makeStatus(aNow), m_host.peers().live(aNow));
+}
+
+void
+PeerLink::send(std::span<const uint8_t> aStatus, std::span<const HostId> aTargets)
+{
+  for (const HostId target : aTargets) {
+    m_socket.send(Ipv4{ target.m_value }, m_peerPort, aStatus, {});
+    m_counters.m_statusBytesSent += aStatus.size();
+  }
+  m_socket.flush();
+}
+
+void
+PeerLink::onDatagram(std::span<const uint8_t> aBytes)
+{
+  const TimePoint now = readClock();
+  m_counters.m_statusBytesReceived += aBytes.size();
+  const auto status = dissemination::decodeStatus(aBytes);
+  if (!status.ok()) {
+    ++m_counters.m_malformed[static_cast<size_t>(ErrorKind::PacketUnsupported)];
+    return;
+  }
+  const dissemination::Reaction reaction = m_host.onStatus(now, *status);
+  if (reaction.m_isAnswerDue) {
+    const std::array<HostId, 1> target{ status->m_sender };
+    send(m_host.makeStatus(now), target);
+  }
+  if (reaction.m_isPullDue) {
+    pullFrom(now, status->m_sender);
+  }
+}
+
+void
+PeerLink::pullFrom(TimePoint /*aNow*/, HostId aHost)
+{
+  if (m_isPulling) {
+    return;
+  }
+  if (!m_pull || m_pulledHost != aHost) {
+    m_pull = std::make_unique<transport::Client>(
+      m_io, asio::ip::tcp::endpoint(asio::ip::address_v4(aHost.m_value), m_controlPort));
+    m_pulledHost = aHost;
+  }
+  m_isPulling = true;
+  ++m_counters.m_pulls;
+  transport::Request request{ .m_method = "GET", .m_path = "/changes" };
+  request.m_query["since"] = std::to_string(m_host.registry().complete());
+  m_pull->request(request, kPullDeadline, [this](const transport::Response& aResponse) {
+    m_isPulling = false;
+    if (aResponse.m_status != 200) {
+      // The next status of any host that is ahead starts another pull, on a new connection.
+      asio::post(m_io, [this] {
+        if (!m_isPulling) {
+          m_pull.reset();
+        }
+      });
+      return;
+    }
+    const auto* bytes = reinterpret_cast<const uint8_t*>(aResponse.m_body.data());
+    const auto difference = registry::decodeDifference({ bytes, aResponse.m_body.size() });
+    if (!difference.ok()) {
+      m_host.note(EventId::RecordRefused,
+                  "host=" + formatHost(m_pulledHost) + " item=\"" +
+                    std::string(difference.status().message()) + "\"");
+      return;
+    }
+    m_host.onDifference(readClock(), *difference);
+  });
+}
+
+transport::Response
+PeerLink::onRequest(const transport::Request& aRequest)
+{
+  if (aRequest.m_path == "/changes") {
+    const auto bytes =
+      registry::encodeDifference(m_host.registry().changesSince(numberOf(aRequest, "since")));
+    return { .m_status = 200, .m_body = { bytes.begin(), bytes.end() } };
+  }
+  if (aRequest.m_path == "/dump") {
+    return { .m_status = 200, .m_body = writeDump(m_report()) };
+  }
+  if (aRequest.m_path == "/explain") {
+    const auto flow = aRequest.m_query.find("flow");
+    const auto text =
+      writeExplanation(m_report(), flow == aRequest.m_query.end() ? "" : flow->second);
+    if (!text.ok()) {
+      return { .m_status = 400, .m_body = std::string(text.status().message()) + "\n" };
+    }
+    return { .m_status = 200, .m_body = *text };
+  }
+  return { .m_status = 404, .m_body = "no such path\n" };
+}
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/lib/edge/PeerLink.h
@@ -0,0 +1,49 @@
+// The messages of a host to others: statuses in datagrams, differences that are too large for one
+// over HTTP/2, and the address where operators ask for dumps.
+#pragma once
+
+#include "edge/EdgeSettings.h"
+#include "edge/Host.h"
+#include "edge/Reports.h"
+#include "transport/Datagrams.h"
+#include "transport/H2.h"
+
+namespace tamarack::edge {
+
+class PeerLink
+{
+public:
+  PeerLink(asio::io_context& aIo,
+           const EdgeSettings& aSettings,
+           Host& aHost,
+           ProcessCounters& aCounters);
+
+  void onReport(std::function<ReportInputs()> aReport) { m_report = std::move(aReport); }
+  /// Sends the statuses that are due.
+  void step(TimePoint aNow);
+  /// Tells those that rely on this host at once what is new.
+  void push(TimePoint aNow);
+  /// Tells every live host that this one leaves.
+  void announce(TimePoint aNow);
+
+private:
+  void onDatagram(std::span<const uint8_t> aBytes);
+  transport::Response onRequest(const transport::Request& aRequest);
+  void pullFrom(TimePoint aNow, HostId aHost);
+  void send(std::span<const uint8_t> aStatus, std::span<const HostId> aTargets);
+
+  asio::io_context& m_io;
+  uint16_t m_peerPort;
+  uint16_t m_controlPort;
+  Host& m_host;
+  ProcessCounters& m_counters;
+  std::function<ReportInputs()> m_report;
+  transport::DatagramSocket m_socket;
+  transport::Server m_control;
+  /// The pull that is under way, if any.
+  std::unique_ptr<transport::Client> m_pull;
+  HostId m_pulledHost;
+  bool m_isPulling{};
+};
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/lib/edge/StoreFollower.h
@@ -0,0 +1,175 @@
+// Decides when a host calls the store, and with which call: everything at the start and after the
+// store forgot its history, changes after that, as long as the host reads for others or for itself.
+// Each call has a deadline, for a connection may go silent and a watch may hear nothing.
+#pragma once
+
+#include "edge/Host.h"
+
+#include <absl/status/statusor.h>
+#include <concepts>
+#include <functional>
+
+namespace tamarack::edge {
+
+/// How long the store holds a watch back when nothing changes. Half of it is the mean age of the
+/// records of a reader, and one call a watch is paid.
+inline constexpr Millis kWatchWait{ 1000 };
+/// What a call may take beyond its wait. A slow store needs 200 ms an answer.
+inline constexpr Millis kCallDeadline{ 700 };
+/// Changes that come sooner after a call are read together with those that follow.
+inline constexpr Millis kCallInterval{ 250 };
+/// After a failure, the next call waits this long, then twice as long, up to the last.
+inline constexpr Millis kFirstRetry{ 200 };
+inline constexpr Millis kLastRetry{ 1600 };
+/// An upstream's entry needs three heartbeats of 1.2 s to lapse, so a removal this long after a
+/// failure of the store may come from the failure.
+inline constexpr Millis kDisturbanceLife{ 4000 };
+
+using ReadingHandler = std::function<void(absl::StatusOr<registry::Reading>)>;
+
+/// Where published records come from.
+template<typename Source>
+concept RecordSource = requires(Source& aSource, registry::Revision aRevision, ReadingHandler aDone)
+{
+  aSource.load(true, Millis{}, aDone);
+  aSource.watch(aRevision, Millis{}, Millis{}, aDone);
+  aSource.close();
+};
+
+template<RecordSource Source>
+class StoreFollower
+{
+public:
+  /// `aClock` is asked when an answer arrives.
+  StoreFollower(Source& aSource, Host& aHost, std::function<TimePoint()> aClock)
+    : m_source(aSource)
+    , m_host(aHost)
+    , m_clock(std::move(aClock))
+  {
+  }
+
+  /// Starts a call when one is due.
+  void step(TimePoint aNow)
+  {
+    if (m_isBusy || aNow < m_nextAt || !(m_host.isReader() || !m_host.isLoaded())) {
+      return;
+    }
+    m_isBusy = true;
+    m_startedAt = aNow;
+    if (!m_host.isLoaded()) {
+      // Old records serve for the first packets; the next call brings them up to date.
+      m_isOldAllowed = true;
+      m_source.load(true, kCallDeadline, handler());
+    } else if (m_needsEverything) {
+      m_isOldAllowed = false;
+      m_source.load(false, kCallDeadline, handler());
+    } else {
+      m_isWatch = true;
+      m_source.watch(
+        m_host.registry().complete(), kWatchWait, kWatchWait + kCallDeadline, handler());
+    }
+  }
+
+  /// Gives up a call that was sent before the process was suspended.
+  void restart(TimePoint aNow)
+  {
+    ++m_generation;
+    m_source.close();
+    m_isBusy = false;
+    m_isWatch = false;
+    m_nextAt = aNow;
+    m_disturbedAt = aNow;
+  }
+
+  /// Called after each answer.
+  void onAnswer(std::function<void()> aHandler) { m_onAnswer = std::move(aHandler); }
+  [[nodiscard]] uint64_t failures() const { return m_failures; }
+  [[nodiscard]] bool isLost() const { return m_isLost; }
+
+private:
+  ReadingHandler handler()
+  {
+    return [this, generation = ++m_generation](absl::StatusOr<registry::Reading> aReading) {
+      if (generation == m_generation) {
+        onReading(m_clock(), std::move(aReading));
+      }
+    };
+  }
+
+  void onReading(TimePoint aNow, absl::StatusOr<registry::Reading> aReading)
+  {
+    const bool wasWatch = std::exchange(m_isWatch, false);
+    m_isBusy = false;
+    if (!aReading.ok()) {
+      onFailure(aNow, aReading.status());
+    } else {
+      onSuccess(aNow, wasWatch, *aReading);
+    }
+    if (m_onAnswer) {
+      m_onAnswer();
+    }
+  }
+
+  void onSuccess(TimePoint aNow, bool aWasWatch, const registry::Reading& aReading)
+  {
+    m_retry = {};
+    m_nextAt = m_startedAt + kCallInterval;
+    if (std::exchange(m_isLost, false)) {
+      m_disturbedAt = aNow;
+      m_host.note(EventId::StoreRegained, "revision=" + std::to_string(aReading.m_revision));
+    }
+    const bool isEmptyWatch =
+      aWasWatch && aReading.m_changes.empty() && !aReading.m_configuration.has_value();
+    // A watch that ended by itself was answered after its wait, any other call after it was sent.
+    TimePoint confirmedAt = isEmptyWatch ? std::min(aNow, m_startedAt + kWatchWait) : m_startedAt;
+    if (!aWasWatch && m_isOldAllowed) {
+      confirmedAt = {};
+    }
+    const bool isDisturbed =
+      m_disturbedAt != TimePoint{} && aNow - m_disturbedAt < kDisturbanceLife;
+    if (aReading.m_isSnapshot && !m_isOldAllowed) {
+      m_needsEverything = false;
+    }
+    m_host.onReading(aNow, aReading, isDisturbed, confirmedAt);
+  }
+
+  void onFailure(TimePoint aNow, const absl::Status& aStatus)
+  {
+    m_disturbedAt = aNow;
+    if (absl::IsOutOfRange(aStatus)) {
+      m_needsEverything = true;
+      m_nextAt = aNow;
+      m_host.note(EventId::StoreHistoryLost,
+                  "revision=" + std::to_string(m_host.registry().complete()));
+      return;
+    }
+    ++m_failures;
+    m_retry = m_retry == Millis{} ? kFirstRetry : std::min(m_retry * 2, kLastRetry);
+    m_nextAt = aNow + m_retry;
+    if (!std::exchange(m_isLost, true)) {
+      m_host.note(EventId::StoreLost,
+                  "reason=\"" + std::string(aStatus.message()) +
+                    "\" waited_ms=" + std::to_string((aNow - m_startedAt).count()) +
+                    " view_age_ms=" + std::to_string(m_host.viewAge(aNow).count()));
+    }
+  }
+
+  Source& m_source;
+  Host& m_host;
+  std::function<TimePoint()> m_clock;
+  std::function<void()> m_onAnswer;
+  bool m_isBusy{};
+  bool m_isWatch{};
+  bool m_isOldAllowed{};
+  bool m_needsEverything{};
+  bool m_isLost{};
+  /// Answers of earlier generations are not ours any more.
+  uint64_t m_generation{};
+  TimePoint m_startedAt;
+  TimePoint m_nextAt;
+  TimePoint m_disturbedAt;
+  Millis m_retry{};
+  uint64_t m_failures{};
+};
+
+} // namespace tamarack::edge
--- a/lib/operator/Latency.cpp
+++ b/lib/logging/Latency.cpp
@@ -1,7 +1,7 @@
 // Quantiles from cumulated bins.
-#include "operator/Latency.h"
+#include "logging/Latency.h"
 
-namespace tamarack::operating {
+namespace tamarack::logging {
 
 namespace {
 
@@ -39,4 +39,4 @@
   return kMostNanoseconds;
 }
 
-} // namespace tamarack::operating
+} // namespace tamarack::logging
--- a/lib/operator/Latency.h
+++ b/lib/logging/Latency.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace tamarack::operating {
+namespace tamarack::logging {
 
 class Latency
 {
@@ -23,4 +23,4 @@
   boost::histogram::histogram<std::tuple<Axis>> m_histogram;
 };
 
-} // namespace tamarack::operating
+} // namespace tamarack::logging
--- /dev/null
+++ b/lib/logging/Log.cpp
@@ -0,0 +1,103 @@
+// The format of log lines, and the sink that keeps them until standard output takes them.
+#include "logging/Log.h"
+
+#include "logging/LineBuffer.h"
+
+#include <boost/log/attributes/clock.hpp>
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/make_shared.hpp>
+
+#include <string>
+#include <unistd.h>
+
+namespace tamarack::logging {
+
+namespace {
+
+namespace expr = boost::log::expressions;
+namespace sinks = boost::log::sinks;
+
+boost::log::sources::logger&
+logger()
+{
+  static boost::log::sources::logger instance;
+  return instance;
+}
+
+LineBuffer&
+lineBuffer()
+{
+  static LineBuffer instance(STDOUT_FILENO);
+  return instance;
+}
+
+class BufferBackend : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding>
+{
+public:
+  void consume(const boost::log::record_view& /*aRecord*/, const std::string& aLine)
+  {
+    lineBuffer().add(aLine);
+  }
+};
+
+} // namespace
+
+void
+initLog(std::string_view aProcess)
+{
+  boost::log::add_common_attributes();
+  boost::log::core::get()->add_global_attribute(
+    "Process", boost::log::attributes::constant<std::string>(std::string(aProcess)));
+  using Sink = sinks::unlocked_sink<BufferBackend>;
+  auto sink = boost::make_shared<Sink>(boost::make_shared<BufferBackend>());
+  sink->set_formatter(expr::stream << "time="
+                                   << expr::format_date_time<boost::posix_time::ptime>(
+                                        "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                   << " process=" << expr::attr<std::string>("Process") << " "
+                                   << expr::smessage);
+  boost::log::core::get()->add_sink(sink);
+}
+
+void
+logEvent(EventId aId, std::string_view aText)
+{
+  logFields(aId, "text=\"" + std::string(aText) + "\"");
+  flushLog();
+}
+
+void
+logFields(EventId aId, std::string_view aFields)
+{
+  BOOST_LOG(logger()) << "event=" << static_cast<int>(aId) << " name=" << eventName(aId) << " "
+                      << aFields;
+}
+
+void
+logEvents(std::span<const Event> aEvents)
+{
+  for (const Event& event : aEvents) {
+    logEvent(event.m_id, event.m_text);
+  }
+}
+
+void
+flushLog()
+{
+  lineBuffer().flush();
+}
+
+uint64_t
+discardedLines()
+{
+  return lineBuffer().discarded();
+}
+
+} // namespace tamarack::logging
--- a/lib/daemon/Program.cpp
+++ b/lib/program/Program.cpp
@@ -1,14 +1,16 @@
 // Option parsing by popt and the life of a daemon.
-#include "daemon/Program.h"
+#include "program/Program.h"
 
-#include "operator/Log.h"
+#include "logging/Log.h"
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <popt.h>
+#include <sstream>
 
-namespace tamarack::daemon {
+namespace tamarack::program {
 
 namespace {
 
@@ -56,51 +58,82 @@
   return -1;
 }
 
+void
+waitForReload(asio::signal_set& aSignals, const Running& aRunning)
+{
+  aSignals.async_wait([&aSignals, &aRunning](const asio::error_code& aError, int) {
+    if (aError) {
+      return;
+    }
+    if (aRunning.m_reload) {
+      aRunning.m_reload();
+    }
+    waitForReload(aSignals, aRunning);
+  });
+}
+
 int
-runLoop(const char* aName, const HostConfig& aConfig, const StartDaemon& aStart)
+runLoop(const char* aName, const std::string& aFile, const Start& aStart)
 {
   asio::io_context io;
-  const Running running = aStart(io, aConfig);
+  // Before anything else, for a signal that no one waits for would end the process.
+  asio::signal_set reload(io, SIGHUP);
   asio::signal_set signals(io, SIGTERM, SIGINT);
+  const auto running = aStart(io, aFile);
+  if (!running.ok()) {
+    std::cerr << aName << ": " << running.status().message() << "\n";
+    return kExitUsage;
+  }
+  waitForReload(reload, *running);
   signals.async_wait([&](const asio::error_code& aError, int) {
     if (aError) {
       return;
     }
-    operating::logEvent(EventId::ProcessStopping, "a signal asks for a stop");
-    if (running.m_stop) {
-      running.m_stop();
+    logging::logEvent(EventId::ProcessStopping, "a signal asks for a stop");
+    if (running->m_stop) {
+      running->m_stop();
       return;
     }
     io.stop();
   });
   io.run();
-  operating::logEvent(EventId::ProcessStopping, std::string(aName) + " ends");
+  logging::logEvent(EventId::ProcessStopping, std::string(aName) + " ends");
   return 0;
 }
 
 } // namespace
 
 int
-runDaemon(const char* aName, int aCount, const char** aWords, const StartDaemon& aStart)
+runProgram(const char* aName, int aCount, const char** aWords, const Start& aStart)
 {
   Arguments arguments;
   const int status = readArguments(aName, aCount, aWords, arguments);
   if (status >= 0) {
     return status;
   }
-  const auto config = readHostConfig(arguments.m_config);
+  const std::string file = arguments.m_config;
   std::free(arguments.m_config);
-  if (!config.ok()) {
-    std::cerr << aName << ": " << config.status().message() << "\n";
-    return kExitUsage;
-  }
-  operating::initLog(aName);
+  // A peer that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  logging::initLog(aName);
   try {
-    return runLoop(aName, *config, aStart);
+    return runLoop(aName, file, aStart);
   } catch (const std::exception& error) {
     std::cerr << aName << ": " << error.what() << "\n";
     return kExitFailure;
   }
 }
 
-} // namespace tamarack::daemon
+absl::StatusOr<std::string>
+readFile(const std::string& aFile)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  if (!stream) {
+    return absl::NotFoundError("cannot open " + aFile);
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+} // namespace tamarack::program
--- /dev/null
+++ b/lib/registry/Registry.cpp
@@ -0,0 +1,206 @@
+// Merging by revision: the newer revision of a key wins, whatever the order of arrival.
+#include "registry/Registry.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarack::registry {
+
+namespace {
+
+/// Removed records that are kept for other hosts; a host that lacks more gets a snapshot.
+constexpr size_t kMostRemovals = 4096;
+
+bool
+isOfConfiguration(RecordKind aKind)
+{
+  return aKind == RecordKind::Configuration || aKind == RecordKind::Service ||
+         aKind == RecordKind::Route;
+}
+
+} // namespace
+
+bool
+Registry::take(const Change& aChange)
+{
+  const auto found = m_records.find(aChange.m_key);
+  if (found != m_records.end() && found->second.m_revision >= aChange.m_revision) {
+    return false;
+  }
+  const bool isRemoval = !aChange.m_record.has_value();
+  if (found == m_records.end()) {
+    m_records.emplace(aChange.m_key,
+                      Versioned{ aChange.m_revision, aChange.m_record, aChange.m_mayReturn });
+    m_removals += isRemoval ? 1 : 0;
+    return !isRemoval;
+  }
+  Versioned& held = found->second;
+  const bool wasRemoved = !held.m_record.has_value();
+  const bool differs = held.m_record != aChange.m_record;
+  m_removals += isRemoval ? 1 : 0;
+  m_removals -= wasRemoved ? 1 : 0;
+  held = { aChange.m_revision, aChange.m_record, aChange.m_mayReturn };
+  return differs;
+}
+
+template<typename IsPresent>
+void
+Registry::removeMissing(const IsPresent& aIsPresent,
+                        Revision aRevision,
+                        bool aMayReturn,
+                        std::vector<Change>& aChanged)
+{
+  std::vector<Change> removals;
+  for (const auto& [key, versioned] : m_records) {
+    if (versioned.m_record && versioned.m_revision <= aRevision && !aIsPresent(key)) {
+      removals.push_back({ key, aRevision, std::nullopt, aMayReturn });
+    }
+  }
+  for (Change& removal : removals) {
+    m_records[removal.m_key] = { aRevision, std::nullopt, removal.m_mayReturn };
+    ++m_removals;
+    aChanged.push_back(std::move(removal));
+  }
+}
+
+void
+Registry::takeConfiguration(const std::vector<Change>& aConfiguration,
+                            std::vector<Change>& aChanged)
+{
+  if (aConfiguration.empty()) {
+    return;
+  }
+  const Revision revision = aConfiguration.front().m_revision;
+  const auto held = m_records.find({ RecordKind::Configuration, {} });
+  if (held != m_records.end() && held->second.m_revision >= revision) {
+    return;
+  }
+  std::set<RecordKey> present;
+  for (const Change& change : aConfiguration) {
+    present.insert(change.m_key);
+    // A record that did not change keeps its revision, so differences follow the change.
+    const auto found = m_records.find(change.m_key);
+    if (found != m_records.end() && found->second.m_record == change.m_record &&
+        change.m_key.m_kind != RecordKind::Configuration) {
+      continue;
+    }
+    if (take(change)) {
+      aChanged.push_back(change);
+    }
+  }
+  removeMissing(
+    [&present](const RecordKey& aKey) {
+      return !isOfConfiguration(aKey.m_kind) || present.contains(aKey);
+    },
+    revision,
+    false,
+    aChanged);
+}
+
+std::vector<Change>
+Registry::merge(const Reading& aReading, bool aIsDisturbed)
+{
+  std::vector<Change> changed;
+  if (aReading.m_isSnapshot && aReading.m_revision < m_complete) {
+    // An answer from the past: what it lacks may have been added since.
+    return changed;
+  }
+  std::set<RecordKey> present;
+  for (const Change& change : aReading.m_changes) {
+    present.insert(change.m_key);
+    Change taken = change;
+    taken.m_mayReturn = !change.m_record && aIsDisturbed;
+    if (take(taken)) {
+      changed.push_back(std::move(taken));
+    }
+  }
+  if (aReading.m_configuration) {
+    takeConfiguration(*aReading.m_configuration, changed);
+  }
+  if (aReading.m_isSnapshot) {
+    removeMissing(
+      [&present](const RecordKey& aKey) {
+        return isOfConfiguration(aKey.m_kind) || present.contains(aKey);
+      },
+      aReading.m_revision,
+      aIsDisturbed,
+      changed);
+    if (m_complete == 0) {
+      m_floor = aReading.m_revision;
+    }
+  }
+  m_complete = std::max(m_complete, aReading.m_revision);
+  forgetOldRemovals();
+  return changed;
+}
+
+std::vector<Change>
+Registry::merge(const Difference& aDifference)
+{
+  std::vector<Change> changed;
+  if (!aDifference.m_isSnapshot && aDifference.m_base > m_complete) {
+    return changed;
+  }
+  if (aDifference.m_isSnapshot && aDifference.m_revision < m_complete) {
+    return changed;
+  }
+  std::set<RecordKey> present;
+  for (const Change& change : aDifference.m_changes) {
+    present.insert(change.m_key);
+    if (take(change)) {
+      changed.push_back(change);
+    }
+  }
+  if (aDifference.m_isSnapshot) {
+    removeMissing([&present](const RecordKey& aKey) { return present.contains(aKey); },
+                  aDifference.m_revision,
+                  false,
+                  changed);
+    // The sender forgot removals before this revision, and so did we.
+    m_floor = std::max(m_floor, aDifference.m_revision);
+  }
+  m_complete = std::max(m_complete, aDifference.m_revision);
+  forgetOldRemovals();
+  return changed;
+}
+
+Difference
+Registry::changesSince(Revision aRevision) const
+{
+  Difference difference{ .m_base = aRevision,
+                         .m_revision = m_complete,
+                         .m_isSnapshot = aRevision < m_floor,
+                         .m_changes = {} };
+  for (const auto& [key, versioned] : m_records) {
+    const bool isWanted =
+      difference.m_isSnapshot ? versioned.m_record.has_value() : versioned.m_revision > aRevision;
+    if (isWanted) {
+      difference.m_changes.push_back(
+        { key, versioned.m_revision, versioned.m_record, versioned.m_mayReturn });
+    }
+  }
+  return difference;
+}
+
+uint64_t
+Registry::configurationVersion() const
+{
+  const auto found = m_records.find({ RecordKind::Configuration, {} });
+  if (found == m_records.end() || !found->second.m_record) {
+    return 0;
+  }
+  return std::get<ConfigurationRecord>(*found->second.m_record).m_version;
+}
+
+void
+Registry::forgetOldRemovals()
+{
+  if (m_removals <= kMostRemovals) {
+    return;
+  }
+  std::erase_if(m_records, [](const auto& aEntry) { return !aEntry.second.m_record; });
+  m_removals = 0;
+  m_floor = m_complete;
+}
+
+} // namespace tamarack::registry
--- /dev/null
+++ b/lib/steering/ColdBudget.cpp
@@ -0,0 +1,52 @@
+// A sliding window of one second for each cold upstream.
+#include "steering/ColdBudget.h"
+
+#include "base/Hash.h"
+
+namespace tamarack::steering {
+
+namespace {
+
+/// Two windows that overlap count the same flow, so the window is a little longer than the limit's.
+constexpr Millis kWindow{ 1100 };
+
+} // namespace
+
+void
+ColdBudget::setReaders(bool aIsReader, std::span<const HostId> aOthers)
+{
+  m_readers.assign(aOthers.begin(), aOthers.end());
+  if (aIsReader) {
+    m_readers.push_back(m_self);
+  }
+}
+
+bool
+ColdBudget::isMine(const Upstream& aUpstream) const
+{
+  return !m_readers.empty() && pickByRendezvous(aUpstream.m_token.m_value, m_readers) == m_self;
+}
+
+bool
+ColdBudget::allows(TimePoint aNow,
+                   const Upstream& aUpstream,
+                   const registry::ServiceRecord& aService)
+{
+  if (!isMine(aUpstream)) {
+    return false;
+  }
+  auto& placed = m_placed[aUpstream.m_token.m_value];
+  while (!placed.empty() && aNow - placed.front() >= kWindow) {
+    placed.pop_front();
+  }
+  const double limit = aService.m_coldRequestsPerSecond * m_limits.m_factor + m_limits.m_slack;
+  return static_cast<double>(placed.size() + 1) <= limit * kColdShare;
+}
+
+void
+ColdBudget::onPlaced(TimePoint aNow, const Upstream& aUpstream)
+{
+  m_placed[aUpstream.m_token.m_value].push_back(aNow);
+}
+
+} // namespace tamarack::steering
--- /dev/null
+++ b/lib/steering/Placement.h
@@ -0,0 +1,46 @@
+// Chooses the upstream of a new flow. Loads it answers: the usual day, where the nearest upstreams
+// save bytes between data centres; a data centre that loses part of its upstreams, where that part
+// of its flows goes elsewhere; crashed and slow upstreams, which callers' repeated packets give
+// away; a service that is all cold.
+#pragma once
+
+#include "steering/ColdBudget.h"
+
+#include <random>
+
+namespace tamarack::steering {
+
+struct PlacementRequest
+{
+  const registry::RouteRecord* m_route{};
+  uint64_t m_flowKey{};
+  /// The upstream that did not answer the flow's earlier opening packet; 0 when there is none.
+  Token m_avoid;
+};
+
+class Placement
+{
+public:
+  Placement(Directory& aDirectory, ColdBudget& aColdBudget, uint64_t aSeed)
+    : m_directory(aDirectory)
+    , m_coldBudget(aColdBudget)
+    , m_random(aSeed)
+  {
+  }
+
+  /// Returns null when no upstream can take the flow now.
+  [[nodiscard]] Upstream* choose(TimePoint aNow, const PlacementRequest& aRequest);
+
+private:
+  /// The better of two upstreams that were drawn from a group as it went by.
+  class Draw;
+
+  [[nodiscard]] Service* pickService(const PlacementRequest& aRequest);
+  [[nodiscard]] Upstream* chooseCold(TimePoint aNow, const Service& aService, Token aAvoid);
+
+  Directory& m_directory;
+  ColdBudget& m_coldBudget;
+  std::minstd_rand m_random;
+};
+
+} // namespace tamarack::steering
--- /dev/null
+++ b/lib/steering/TokenSteering.cpp
@@ -0,0 +1,256 @@
+// The packet path of steering by token: two look-ups for a packet of an open flow.
+#include "steering/TokenSteering.h"
+
+#include "base/Hash.h"
+
+namespace tamarack::steering {
+
+namespace {
+
+uint64_t
+keyOf(const packet::FlowKey& aFlow)
+{
+  const uint64_t addresses = uint64_t{ aFlow.m_source.m_value } << 32 | aFlow.m_destination.m_value;
+  const uint64_t ports = uint64_t{ aFlow.m_sourcePort } << 16 | aFlow.m_destinationPort;
+  const uint64_t key = mixHash(addresses, ports);
+  return key == 0 ? 1 : key;
+}
+
+/// Whether sequence number `aLeft` is after `aRight`, across the wrap.
+bool
+isAfter(uint32_t aLeft, uint32_t aRight)
+{
+  return static_cast<int32_t>(aLeft - aRight) > 0;
+}
+
+} // namespace
+
+Choice
+TokenSteering::decide(TimePoint aNow, const FlowPacket& aPacket)
+{
+  ++m_counters.m_packets;
+  return aPacket.m_opens ? open(aNow, aPacket) : carry(aNow, aPacket);
+}
+
+bool
+TokenSteering::isViewTrusted(TimePoint aNow) const
+{
+  return m_view.m_confirmedAt != TimePoint{} && aNow - m_view.m_confirmedAt <= kTrustedViewAge;
+}
+
+bool
+TokenSteering::mayRepeat(const FlowPacket& aPacket) const
+{
+  const Route* route =
+    m_directory.findRoute(aPacket.m_flow.m_destination, aPacket.m_flow.m_destinationPort);
+  return route != nullptr && route->m_record.m_kind == registry::RequestKind::Idempotent;
+}
+
+Choice
+TokenSteering::forward(const Upstream& aUpstream)
+{
+  ++m_counters.m_forwarded;
+  return { .m_action = Action::Forward,
+           .m_token = aUpstream.m_token,
+           .m_identity = aUpstream.m_record.m_identity,
+           .m_address = aUpstream.m_record.m_address,
+           .m_port = aUpstream.m_record.m_port };
+}
+
+void
+TokenSteering::record(TimePoint aNow, const FlowPacket& aPacket, FlowEvent aEvent)
+{
+  aEvent.m_at = aNow;
+  aEvent.m_flow = aPacket.m_flow;
+  aEvent.m_copy = aPacket.m_opens ? aPacket.m_copy : 0;
+  aEvent.m_revision = m_view.m_revision;
+  aEvent.m_viewAge = aNow - m_view.m_confirmedAt;
+  m_events.add(aEvent);
+}
+
+Choice
+TokenSteering::refuse(TimePoint aNow,
+                      const FlowPacket& aPacket,
+                      ErrorKind aKind,
+                      EventId aEvent,
+                      const FlowState* aFlow)
+{
+  ++m_counters.m_errors[static_cast<size_t>(aKind)];
+  FlowEvent event{ .m_event = aEvent, .m_error = aKind, .m_token = aPacket.m_token };
+  if (aFlow != nullptr) {
+    event.m_repeats = aFlow->m_repeats;
+  }
+  record(aNow, aPacket, event);
+  const bool isSilent = errorRow(aKind).m_answer == Answer::Silence;
+  return { .m_action = isSilent ? Action::Drop : Action::Reset, .m_error = aKind };
+}
+
+void
+TokenSteering::noteSilence(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream)
+{
+  if (aUpstream.m_health.onSilence(aNow)) {
+    record(aNow,
+           aPacket,
+           { .m_event = EventId::UpstreamAvoided,
+             .m_token = aUpstream.m_token,
+             .m_repeats = aUpstream.m_health.silences() });
+  }
+}
+
+Choice
+TokenSteering::open(TimePoint aNow, const FlowPacket& aPacket)
+{
+  const Route* route =
+    m_directory.findRoute(aPacket.m_flow.m_destination, aPacket.m_flow.m_destinationPort);
+  if (route == nullptr) {
+    return refuse(aNow,
+                  aPacket,
+                  isViewTrusted(aNow) ? ErrorKind::NoSuchRoute : ErrorKind::RouteUnconfirmed,
+                  EventId::FlowRefused);
+  }
+  const uint64_t key = keyOf(aPacket.m_flow);
+  FlowState* const known = m_flows.find(key);
+  Token before;
+  if (known != nullptr && aPacket.m_copy > 0) {
+    before = known->m_token;
+    Upstream* const silent = m_directory.findUpstream(before);
+    if (silent != nullptr && known->m_isOpen) {
+      // The flow is open; a copy of its first packet was only late.
+      return forward(*silent);
+    }
+    if (silent != nullptr) {
+      noteSilence(aNow, aPacket, *silent);
+    }
+  }
+  Upstream* const chosen =
+    m_placement.choose(aNow, { .m_route = &route->m_record, .m_flowKey = key, .m_avoid = before });
+  if (chosen == nullptr) {
+    return refuse(aNow, aPacket, ErrorKind::NoCapacity, EventId::FlowRefused);
+  }
+  FlowState& flow = m_flows.findOrAdd(aNow, key);
+  flow = {
+    .m_key = key, .m_lastAt = aNow, .m_token = chosen->m_token, .m_sequenceEnd = aPacket.m_sequence
+  };
+  chosen->m_requests.add(aNow);
+  chosen->m_flows.add(aNow);
+  const bool isAgain = aPacket.m_copy > 0;
+  ++(isAgain ? m_counters.m_openedAgain : m_counters.m_opened);
+  record(aNow,
+         aPacket,
+         { .m_event = isAgain ? EventId::FlowOpenedAgain : EventId::FlowOpened,
+           .m_token = chosen->m_token,
+           .m_before = before });
+  return forward(*chosen);
+}
+
+Choice
+TokenSteering::carry(TimePoint aNow, const FlowPacket& aPacket)
+{
+  Upstream* const upstream = m_directory.findUpstream(aPacket.m_token);
+  if (upstream == nullptr) {
+    return decideUnknown(aNow, aPacket);
+  }
+  FlowState& flow = m_flows.findOrAdd(aNow, keyOf(aPacket.m_flow));
+  const Repetition seen = track(aNow, aPacket, flow, *upstream);
+  if (upstream->m_presence >= Presence::Missing) {
+    return decideAbsent(aNow, aPacket, flow, *upstream, seen.m_isRepeat);
+  }
+  return decidePresent(aNow, aPacket, flow, *upstream, seen);
+}
+
+TokenSteering::Repetition
+TokenSteering::track(TimePoint aNow,
+                     const FlowPacket& aPacket,
+                     FlowState& aFlow,
+                     Upstream& aUpstream)
+{
+  const uint32_t end = aPacket.m_sequence + aPacket.m_length;
+  const bool isKnown = aFlow.m_isOpen && aFlow.m_token == aPacket.m_token;
+  Repetition seen;
+  if (!isKnown) {
+    // A flow that another host opened, or the first packet after the handshake: a sign of life.
+    seen.m_isProgress = aFlow.m_token == aPacket.m_token;
+    aFlow.m_token = aPacket.m_token;
+    aFlow.m_isOpen = true;
+    aFlow.m_sequenceEnd = aPacket.m_sequence;
+    aFlow.m_acknowledged = aPacket.m_acknowledged;
+    aFlow.m_repeats = 0;
+  }
+  if (isAfter(aPacket.m_acknowledged, aFlow.m_acknowledged)) {
+    aFlow.m_acknowledged = aPacket.m_acknowledged;
+    aFlow.m_repeats = 0;
+    seen.m_isProgress = true;
+    if (aFlow.m_requestAt != TimePoint{}) {
+      if (m_observer) {
+        m_observer(aNow - aFlow.m_requestAt);
+      }
+      aFlow.m_requestAt = {};
+    }
+  }
+  if (aPacket.m_length == 0) {
+    return seen;
+  }
+  if (isAfter(end, aFlow.m_sequenceEnd)) {
+    aFlow.m_sequenceEnd = end;
+    if (aFlow.m_requestAt == TimePoint{}) {
+      aFlow.m_requestAt = aNow;
+      aUpstream.m_requests.add(aNow);
+    }
+    return seen;
+  }
+  if (isKnown) {
+    seen.m_isRepeat = true;
+    aFlow.m_repeats = static_cast<uint8_t>(std::min(aFlow.m_repeats + 1, 255));
+    ++m_counters.m_repeats;
+  }
+  return seen;
+}
+
+Choice
+TokenSteering::decideUnknown(TimePoint aNow, const FlowPacket& aPacket)
+{
+  const bool hasLearned =
+    m_view.m_loadedAt != TimePoint{} && aNow - m_view.m_loadedAt >= kLearningTime;
+  if (!aPacket.m_token || aPacket.m_length == 0 || !hasLearned || !isViewTrusted(aNow)) {
+    return refuse(aNow, aPacket, ErrorKind::TokenUnknown, EventId::FlowDropped);
+  }
+  return refuse(aNow, aPacket, ErrorKind::UpstreamGone, EventId::FlowReset);
+}
+
+Choice
+TokenSteering::decideAbsent(TimePoint aNow,
+                            const FlowPacket& aPacket,
+                            const FlowState& aFlow,
+                            const Upstream& aUpstream,
+                            bool aIsRepeat)
+{
+  // Whatever is not a request goes on: the upstream may be alive and only cut off from the store.
+  const bool isSure = aUpstream.m_presence == Presence::Ended && aPacket.m_length > 0;
+  if (isSure || aIsRepeat) {
+    return refuse(aNow, aPacket, ErrorKind::UpstreamGone, EventId::FlowReset, &aFlow);
+  }
+  return forward(aUpstream);
+}
+
+Choice
+TokenSteering::decidePresent(TimePoint aNow,
+                             const FlowPacket& aPacket,
+                             const FlowState& aFlow,
+                             Upstream& aUpstream,
+                             Repetition aSeen)
+{
+  if (aSeen.m_isProgress && aUpstream.m_health.onProgress(aNow)) {
+    record(aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
+  }
+  if (!aSeen.m_isRepeat) {
+    return forward(aUpstream);
+  }
+  noteSilence(aNow, aPacket, aUpstream);
+  const bool isHopeless = aFlow.m_repeats >= kRepeatsBeforeReset || aUpstream.m_health.isDead(aNow);
+  if (isHopeless && mayRepeat(aPacket)) {
+    return refuse(aNow, aPacket, ErrorKind::UpstreamSilent, EventId::FlowReset, &aFlow);
+  }
+  return forward(aUpstream);
+}
+
+} // namespace tamarack::steering
--- /dev/null
+++ b/lib/steering/TokenSteering.h
@@ -0,0 +1,110 @@
+// Decides packets of flows whose ends echo a token. A new flow gets an upstream; every other packet
+// goes where its token says, on any host, after any restart. A flow whose upstream does not answer
+// is reset as soon as that helps its caller.
+#pragma once
+
+#include "steering/FlowEvents.h"
+#include "steering/FlowTable.h"
+#include "steering/Placement.h"
+
+#include <functional>
+
+namespace tamarack::steering {
+
+/// With older records a host does not say that a route or an upstream does not exist.
+inline constexpr Millis kTrustedViewAge{ 2500 };
+/// After its first reading a host waits for entries that lapsed to come back before it calls a
+/// token that it has never seen gone.
+inline constexpr Millis kLearningTime{ 4000 };
+/// A caller that has sent the same bytes this often gets a reset, if its request may be repeated.
+inline constexpr uint8_t kRepeatsBeforeReset = 2;
+
+/// What the records that decisions rest on are worth.
+struct View
+{
+  registry::Revision m_revision{};
+  /// All changes until then are known; the epoch before the first reading.
+  TimePoint m_confirmedAt;
+  /// When this host first read the records.
+  TimePoint m_loadedAt;
+};
+
+struct SteeringCounters
+{
+  uint64_t m_packets{};
+  uint64_t m_opened{};
+  uint64_t m_openedAgain{};
+  uint64_t m_forwarded{};
+  uint64_t m_repeats{};
+  ErrorCounters m_errors{};
+};
+
+/// Called with the time from a caller's request to its first acknowledgement of the answer.
+using ResponseObserver = std::function<void(Millis)>;
+
+class TokenSteering
+{
+public:
+  /// `aFlowPlaces`: flows that are remembered at a time.
+  TokenSteering(Directory& aDirectory, Placement& aPlacement, size_t aFlowPlaces)
+    : m_directory(aDirectory)
+    , m_placement(aPlacement)
+    , m_flows(aFlowPlaces)
+  {
+  }
+
+  void setView(const View& aView) { m_view = aView; }
+  void onResponse(ResponseObserver aObserver) { m_observer = std::move(aObserver); }
+
+  [[nodiscard]] Choice decide(TimePoint aNow, const FlowPacket& aPacket);
+
+  [[nodiscard]] const SteeringCounters& counters() const { return m_counters; }
+  [[nodiscard]] FlowEvents& events() { return m_events; }
+
+private:
+  struct Repetition
+  {
+    bool m_isRepeat{};
+    bool m_isProgress{};
+  };
+
+  Choice open(TimePoint aNow, const FlowPacket& aPacket);
+  Choice carry(TimePoint aNow, const FlowPacket& aPacket);
+  Choice decideUnknown(TimePoint aNow, const FlowPacket& aPacket);
+  Choice decideAbsent(TimePoint aNow,
+                      const FlowPacket& aPacket,
+                      const FlowState& aFlow,
+                      const Upstream& aUpstream,
+                      bool aIsRepeat);
+  Choice decidePresent(TimePoint aNow,
+                       const FlowPacket& aPacket,
+                       const FlowState& aFlow,
+                       Upstream& aUpstream,
+                       Repetition aSeen);
+  Repetition track(TimePoint aNow,
+                   const FlowPacket& aPacket,
+                   FlowState& aFlow,
+                   Upstream& aUpstream);
+  Choice forward(const Upstream& aUpstream);
+  Choice refuse(TimePoint aNow,
+                const FlowPacket& aPacket,
+                ErrorKind aKind,
+                EventId aEvent,
+                const FlowState* aFlow = nullptr);
+  void record(TimePoint aNow, const FlowPacket& aPacket, FlowEvent aEvent);
+  void noteSilence(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream);
+  [[nodiscard]] bool isViewTrusted(TimePoint aNow) const;
+  [[nodiscard]] bool mayRepeat(const FlowPacket& aPacket) const;
+
+  Directory& m_directory;
+  Placement& m_placement;
+  FlowTable m_flows;
+  View m_view;
+  SteeringCounters m_counters;
+  FlowEvents m_events;
+  ResponseObserver m_observer;
+};
+
+static_assert(TokenModel<TokenSteering>);
+
+} // namespace tamarack::steering
--- /dev/null
+++ b/lib/transport/Http1.cpp
@@ -0,0 +1,337 @@
+// Connections of the HTTP/1.1 client and server.
+#include "transport/Http1.h"
+
+#include <http_parser.h>
+
+namespace tamarack::transport {
+
+namespace {
+
+constexpr size_t kReadBytes = 16384;
+
+std::string_view
+reasonOf(int aStatus)
+{
+  switch (aStatus) {
+    case 200:
+      return "OK";
+    case 404:
+      return "Not Found";
+    default:
+      return "Service Unavailable";
+  }
+}
+
+/// Settings of http_parser whose callbacks hand on to a `Sink` in `data`.
+template<typename Sink>
+http_parser_settings
+parserSettings()
+{
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_url = [](http_parser* aParser, const char* aBytes, size_t aLength) {
+    return static_cast<Sink*>(aParser->data)->onTarget({ aBytes, aLength });
+  };
+  settings.on_body = [](http_parser* aParser, const char* aBytes, size_t aLength) {
+    return static_cast<Sink*>(aParser->data)->onBody({ aBytes, aLength });
+  };
+  settings.on_message_complete = [](http_parser* aParser) {
+    return static_cast<Sink*>(aParser->data)->onComplete();
+  };
+  return settings;
+}
+
+} // namespace
+
+class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection>
+{
+public:
+  explicit HttpClientConnection(asio::io_context& aIo)
+    : m_socket(aIo)
+    , m_deadline(aIo)
+  {
+    http_parser_init(&m_parser, HTTP_RESPONSE);
+    m_parser.data = this;
+  }
+
+  void start(const asio::ip::tcp::endpoint& aEndpoint, std::string aRequest)
+  {
+    m_request = std::move(aRequest);
+    m_socket.async_connect(aEndpoint, [self = shared_from_this()](const asio::error_code& aError) {
+      if (aError) {
+        self->fail(aError.message());
+        return;
+      }
+      asio::error_code ignored;
+      self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      self->m_isConnected = true;
+      self->write();
+      self->read();
+    });
+  }
+
+  void send(std::string aRequest)
+  {
+    m_request = std::move(aRequest);
+    write();
+  }
+
+  void expect(std::chrono::milliseconds aDeadline, ResponseHandler aHandler)
+  {
+    m_handler = std::move(aHandler);
+    m_body.clear();
+    m_deadline.expires_after(aDeadline);
+    m_deadline.async_wait([weak = weak_from_this()](const asio::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self && self->m_handler) {
+        self->fail("no answer before the deadline");
+      }
+    });
+  }
+
+  void close()
+  {
+    m_handler = nullptr;
+    m_isClosed = true;
+    m_deadline.cancel();
+    asio::error_code ignored;
+    m_socket.close(ignored);
+  }
+
+  [[nodiscard]] bool isIdle() const { return m_isConnected && !m_isClosed && !m_handler; }
+
+  int onTarget(std::string_view /*aTarget*/) { return 0; }
+
+  int onBody(std::string_view aBytes)
+  {
+    if (m_body.size() + aBytes.size() > kMaxHttpBodyBytes) {
+      return 1;
+    }
+    m_body.append(aBytes);
+    return 0;
+  }
+
+  int onComplete()
+  {
+    m_deadline.cancel();
+    if (http_should_keep_alive(&m_parser) == 0) {
+      m_isClosed = true;
+    }
+    // The handler may send the next request, so it is called with this one done.
+    if (const ResponseHandler handler = std::exchange(m_handler, nullptr)) {
+      handler({ .m_status = static_cast<int>(m_parser.status_code), .m_body = std::move(m_body) });
+    }
+    return 0;
+  }
+
+private:
+  void write()
+  {
+    asio::async_write(m_socket,
+                      asio::buffer(m_request),
+                      [self = shared_from_this()](const asio::error_code& aError, size_t) {
+                        if (aError && !self->m_isClosed) {
+                          self->fail(aError.message());
+                        }
+                      });
+  }
+
+  void read()
+  {
+    m_socket.async_read_some(
+      asio::buffer(m_input),
+      [self = shared_from_this()](const asio::error_code& aError, size_t aCount) {
+        if (self->m_isClosed) {
+          return;
+        }
+        if (aError) {
+          self->fail(aError.message());
+          return;
+        }
+        static const http_parser_settings settings = parserSettings<HttpClientConnection>();
+        http_parser_execute(&self->m_parser, &settings, self->m_input.data(), aCount);
+        if (HTTP_PARSER_ERRNO(&self->m_parser) != HPE_OK) {
+          self->fail("the answer cannot be read");
+          return;
+        }
+        if (!self->m_isClosed) {
+          self->read();
+        }
+      });
+  }
+
+  void fail(const std::string& aReason)
+  {
+    const ResponseHandler handler = std::exchange(m_handler, nullptr);
+    close();
+    if (handler) {
+      handler({ .m_status = 0, .m_body = aReason });
+    }
+  }
+
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_deadline;
+  http_parser m_parser{};
+  std::array<char, kReadBytes> m_input{};
+  std::string m_request;
+  std::string m_body;
+  /// Empty when no answer is expected.
+  ResponseHandler m_handler;
+  bool m_isConnected{};
+  bool m_isClosed{};
+};
+
+HttpClient::HttpClient(asio::io_context& aIo, asio::ip::tcp::endpoint aEndpoint)
+  : m_io(aIo)
+  , m_endpoint(std::move(aEndpoint))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  close();
+}
+
+void
+HttpClient::close()
+{
+  if (m_connection) {
+    m_connection->close();
+    m_connection.reset();
+  }
+}
+
+void
+HttpClient::get(const std::string& aTarget,
+                std::chrono::milliseconds aDeadline,
+                ResponseHandler aHandler)
+{
+  std::string request = "GET " + aTarget +
+                        " HTTP/1.1\r\nHost: " + m_endpoint.address().to_string() + ":" +
+                        std::to_string(m_endpoint.port()) + "\r\n\r\n";
+  if (m_connection && m_connection->isIdle()) {
+    m_connection->expect(aDeadline, std::move(aHandler));
+    m_connection->send(std::move(request));
+    return;
+  }
+  close();
+  m_connection = std::make_shared<HttpClientConnection>(m_io);
+  m_connection->expect(aDeadline, std::move(aHandler));
+  m_connection->start(m_endpoint, std::move(request));
+}
+
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
+{
+public:
+  HttpServerConnection(asio::ip::tcp::socket aSocket, const HttpServer::Handler& aHandler)
+    : m_socket(std::move(aSocket))
+    , m_handler(aHandler)
+  {
+    http_parser_init(&m_parser, HTTP_REQUEST);
+    m_parser.data = this;
+  }
+
+  void read()
+  {
+    m_socket.async_read_some(
+      asio::buffer(m_input),
+      [self = shared_from_this()](const asio::error_code& aError, size_t aCount) {
+        if (aError) {
+          return;
+        }
+        static const http_parser_settings settings = parserSettings<HttpServerConnection>();
+        http_parser_execute(&self->m_parser, &settings, self->m_input.data(), aCount);
+        if (HTTP_PARSER_ERRNO(&self->m_parser) == HPE_OK && self->m_socket.is_open()) {
+          self->read();
+        }
+      });
+  }
+
+  void close()
+  {
+    asio::error_code ignored;
+    m_socket.close(ignored);
+  }
+
+  int onTarget(std::string_view aTarget)
+  {
+    constexpr size_t kMaxTargetBytes = 2048;
+    m_target.append(aTarget);
+    return m_target.size() > kMaxTargetBytes ? 1 : 0;
+  }
+
+  int onBody(std::string_view /*aBytes*/) { return 0; }
+
+  int onComplete()
+  {
+    const std::string target = std::exchange(m_target, {});
+    const Response response = m_handler(std::string_view(target).substr(0, target.find('?')));
+    const bool isKept = http_should_keep_alive(&m_parser) != 0;
+    auto text = std::make_shared<std::string>(
+      "HTTP/1.1 " + std::to_string(response.m_status) + " " +
+      std::string(reasonOf(response.m_status)) +
+      "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(response.m_body.size()) +
+      (isKept ? "" : "\r\nConnection: close") + "\r\n\r\n" + response.m_body);
+    asio::async_write(
+      m_socket,
+      asio::buffer(*text),
+      [self = shared_from_this(), text, isKept](const asio::error_code& aError, size_t) {
+        if (aError || !isKept) {
+          self->close();
+        }
+      });
+    return 0;
+  }
+
+private:
+  asio::ip::tcp::socket m_socket;
+  const HttpServer::Handler& m_handler;
+  http_parser m_parser{};
+  std::array<char, 2048> m_input{};
+  std::string m_target;
+};
+
+HttpServer::HttpServer(asio::io_context& aIo,
+                       const asio::ip::tcp::endpoint& aEndpoint,
+                       Handler aHandler)
+  : m_acceptor(aIo, aEndpoint)
+  , m_handler(std::move(aHandler))
+{
+  accept();
+}
+
+HttpServer::~HttpServer()
+{
+  asio::error_code ignored;
+  m_acceptor.close(ignored);
+  for (const auto& weak : m_connections) {
+    if (const auto connection = weak.lock()) {
+      connection->close();
+    }
+  }
+}
+
+void
+HttpServer::accept()
+{
+  m_acceptor.async_accept([this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      const auto connection = std::make_shared<HttpServerConnection>(std::move(aSocket), m_handler);
+      std::erase_if(m_connections, [](const auto& aWeak) { return aWeak.expired(); });
+      if (m_connections.size() >= kMaxHttpConnections) {
+        if (const auto oldest = m_connections.front().lock()) {
+          oldest->close();
+        }
+        m_connections.pop_front();
+      }
+      m_connections.push_back(connection);
+      connection->read();
+    }
+    accept();
+  });
+}
+
+} // namespace tamarack::transport
--- /dev/null
+++ b/tools/tamarack-edge/Main.cpp
@@ -0,0 +1,26 @@
+// The edge process: a whole entry host that steers by token, on the users' platform.
+#include "edge/EdgeDaemon.h"
+#include "platform/PacketHead.h"
+#include "platform/StoreClient.h"
+#include "program/Program.h"
+
+int
+main(int aCount, const char** aWords)
+{
+  using namespace tamarack;
+  using Daemon = edge::EdgeDaemon<platform::PacketHead, platform::StoreClient>;
+  return program::runProgram(
+    "tamarack-edge",
+    aCount,
+    aWords,
+    [](asio::io_context& aIo, const std::string& aFile) -> absl::StatusOr<program::Running> {
+      auto settings = edge::readEdgeSettings(aFile);
+      if (!settings.ok()) {
+        return settings.status();
+      }
+      const auto daemon = std::make_shared<Daemon>(aIo, *std::move(settings), aFile);
+      return program::Running{ .m_daemon = daemon,
+                               .m_stop = [daemon] { daemon->stop(); },
+                               .m_reload = [daemon] { daemon->reload(); } };
+    });
+}
--- a/tools/tamarackctl/Main.cpp
+++ b/tools/tamarackctl/Main.cpp
@@ -1,6 +1,6 @@
 // The operators' command line: checks settings, and asks processes for their state.
-#include "daemon/HostConfig.h"
 #include "operator/Dump.h"
+#include "program/Program.h"
 #include "settings/Acceptor.h"
 #include "transport/H2.h"
 
@@ -19,7 +19,7 @@
 int
 checkSettings(const std::string& aFile)
 {
-  const auto text = daemon::readFile(aFile);
+  const auto text = program::readFile(aFile);
   if (!text.ok()) {
     std::cerr << "tamarackctl: " << text.status().message() << "\n";
     return kExitUsage;
