[steering] Silence is judged by the time of waiting, not by the first repeated packet

Change: a service's response times are smoothed as TCP does it; waiting is silence from three times the usual longest one on, 500 ms at least. SteeringTest plays the load.

--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -93,7 +93,7 @@
     upstream->m_health.onReportedProgress();
     return;
   }
-  const bool isNews = upstream->m_health.onReportedSilence(aNow);
+  const bool isNews = upstream->m_health.onSilence(aNow);
   if (isNews && m_isReader && m_sightings.size() < kMostSightings) {
     m_sightings.push_back(aSighting);
   }
@@ -119,7 +119,7 @@
   m_steering.setView({ .m_revision = m_registry.complete(),
                        .m_confirmedAt = m_peers.confirmedAt(),
                        .m_loadedAt = m_loadedAt });
-  const bool isStale = isLoaded() && viewAge(aNow) > steering::kTrustedViewAge;
+  const bool isStale = isLoaded() && aNow - m_peers.confirmedAt() > steering::kTrustedViewAge;
   if (isStale != m_isViewStale && aNow - m_loadedAt > steering::kTrustedViewAge) {
     m_isViewStale = isStale;
     note(isStale ? EventId::ViewStale : EventId::ViewFresh,
@@ -131,7 +131,7 @@
 Millis
 Host::viewAge(TimePoint aNow) const
 {
-  return aNow - m_peers.confirmedAt();
+  return steering::ageOf(aNow, m_peers.confirmedAt());
 }
 
 void
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -78,8 +78,7 @@
   m_idleTimeout = record.m_idleTimeout;
   m_beliefs.push_back({ EventId::ConfigurationInForce,
                         "version=" + std::to_string(record.m_version) +
-                          " revision=" + std::to_string(aChange.m_revision) +
-                          " routes=" + std::to_string(m_routes.size()) });
+                          " revision=" + std::to_string(aChange.m_revision) });
 }
 
 void
@@ -189,6 +188,7 @@
     service = std::make_unique<Service>();
   }
   service->m_upstreams.push_back(upstream.get());
+  upstream->m_service = service.get();
   update(aNow, *upstream, aRecord);
   indexToken(*upstream);
   m_upstreams.push_back(std::move(upstream));
@@ -286,7 +286,7 @@
   eraseIfHeld(m_byToken, aUpstream.m_token.m_value);
   eraseIfHeld(m_byName, aUpstream.m_name);
   eraseIfHeld(m_byAddress, addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port));
-  std::erase(m_services[aUpstream.m_record.m_service]->m_upstreams, &aUpstream);
+  std::erase(aUpstream.m_service->m_upstreams, &aUpstream);
   std::erase_if(m_upstreams, [&aUpstream](const auto& aHeld) { return aHeld.get() == &aUpstream; });
 }
 
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -6,6 +6,7 @@
 #include "registry/Registry.h"
 #include "steering/LoadMeter.h"
 #include "steering/PassiveHealth.h"
+#include "steering/ResponseTimes.h"
 #include "steering/Steering.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -37,9 +38,13 @@
   Ended,
 };
 
+struct Service;
+
 struct Upstream
 {
   std::string m_name;
+  /// Never null once it stands in the directory.
+  Service* m_service{};
   registry::UpstreamRecord m_record;
   Token m_token;
   Presence m_presence{ Presence::Registered };
@@ -68,6 +73,7 @@
 {
   registry::ServiceRecord m_record;
   std::vector<Upstream*> m_upstreams;
+  ResponseTimes m_responses;
   /// Most local upstreams that were registered at a time lately.
   double m_localStrength{};
 };
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -16,13 +16,13 @@
 inline constexpr Millis kLongestAvoidance{ 8000 };
 /// Signs of silence without one of life, from this many on an upstream counts as dead.
 inline constexpr uint32_t kSilencesOfDead = 3;
-/// The signs must span this time: a full queue of four requests a slot takes half as long.
-inline constexpr Millis kSilenceOfDead{ 800 };
+/// The signs must span this time, so that one lost batch of datagrams is not enough.
+inline constexpr Millis kSilenceOfDead{ 300 };
 
 class PassiveHealth
 {
 public:
-  /// A caller had to repeat a packet. Returns whether avoidance begins.
+  /// A caller of this host or another one waits in vain. Returns whether avoidance begins.
   bool onSilence(TimePoint aNow)
   {
     if (m_silences == 0) {
@@ -48,16 +48,6 @@
     return wasAvoided;
   }
 
-  /// Another host saw silence. Returns whether avoidance begins.
-  bool onReportedSilence(TimePoint aNow)
-  {
-    if (isAvoided(aNow)) {
-      return false;
-    }
-    m_avoidedUntil = aNow + kFirstAvoidance;
-    return true;
-  }
-
   /// Another host saw an answer; this host's own signs of silence stay.
   void onReportedProgress()
   {
--- /dev/null
+++ b/lib/steering/SteeringTest.cpp
@@ -0,0 +1,365 @@
+// Steering by token under the loads that it answers. Nothing here needs a network or a clock.
+#include "steering/TokenSteering.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarack;
+using namespace tamarack::steering;
+
+namespace {
+
+using registry::Change;
+using registry::RecordKind;
+using registry::UpstreamState;
+
+constexpr Ipv4 kAddress{ 0xc6120001 };
+constexpr uint16_t kSafePort = 8443;
+constexpr uint16_t kUnsafePort = 8080;
+constexpr HostId kSelf{ 0x0a010001 };
+constexpr TimePoint kStart{ Millis{ 100'000 } };
+
+/// A host with one service in two data centres and two routes.
+class Fixture
+{
+public:
+  Fixture()
+  {
+    apply({ { RecordKind::Service, "reports" },
+            ++m_revision,
+            registry::ServiceRecord{ Millis{ 2000 }, 10.0 } });
+    addRoute("safe", kSafePort, registry::RequestKind::Idempotent);
+    addRoute("unsafe", kUnsafePort, registry::RequestKind::NonIdempotent);
+    confirm();
+  }
+
+  void apply(const Change& aChange) { m_directory.apply(m_now, { &aChange, 1 }); }
+
+  void addRoute(const std::string& aName, uint16_t aPort, registry::RequestKind aKind)
+  {
+    apply({ { RecordKind::Route, aName },
+            ++m_revision,
+            registry::RouteRecord{ kAddress, aPort, aKind, { { "reports", 1 } } } });
+  }
+
+  static registry::UpstreamRecord record(uint64_t aIdentity,
+                                         const std::string& aDataCentre = "near")
+  {
+    return { .m_service = "reports",
+             .m_dataCentre = aDataCentre,
+             .m_address = Ipv4{ 0x0a800000 + static_cast<uint32_t>(aIdentity) },
+             .m_port = 8422,
+             .m_identity = aIdentity,
+             .m_startedAtMs = 1000,
+             .m_slots = 4 };
+  }
+
+  void addUpstream(const registry::UpstreamRecord& aRecord)
+  {
+    apply({ { RecordKind::Upstream, "i-" + std::to_string(aRecord.m_identity) },
+            ++m_revision,
+            aRecord });
+  }
+
+  void removeUpstream(uint64_t aIdentity, bool aMayReturn = false)
+  {
+    apply({ { RecordKind::Upstream, "i-" + std::to_string(aIdentity) },
+            ++m_revision,
+            std::nullopt,
+            aMayReturn });
+  }
+
+  void confirm()
+  {
+    m_steering.setView({ .m_revision = m_revision,
+                         .m_confirmedAt = m_now,
+                         .m_loadedAt = kStart - Millis{ 10'000 } });
+  }
+
+  void wait(Millis aTime)
+  {
+    m_now += aTime;
+    confirm();
+    m_directory.tick(m_now);
+  }
+
+  FlowPacket opening(uint16_t aCallerPort, uint16_t aPort = kSafePort, uint32_t aCopy = 0) const
+  {
+    return {
+      .m_flow = flow(aCallerPort, aPort), .m_opens = true, .m_copy = aCopy, .m_sequence = 100
+    };
+  }
+
+  FlowPacket request(uint16_t aCallerPort,
+                     Token aToken,
+                     uint32_t aSequence = 101,
+                     uint32_t aAcknowledged = 1,
+                     uint16_t aPort = kSafePort) const
+  {
+    return { .m_flow = flow(aCallerPort, aPort),
+             .m_sequence = aSequence,
+             .m_acknowledged = aAcknowledged,
+             .m_length = 200,
+             .m_token = aToken };
+  }
+
+  static packet::FlowKey flow(uint16_t aCallerPort, uint16_t aPort)
+  {
+    return { Ipv4{ 0x64400007 }, kAddress, aCallerPort, aPort };
+  }
+
+  Choice decide(const FlowPacket& aPacket) { return m_steering.decide(m_now, aPacket); }
+
+  Token open(uint16_t aCallerPort, uint16_t aPort = kSafePort)
+  {
+    const Choice choice = decide(opening(aCallerPort, aPort));
+    REQUIRE(choice.m_action == Action::Forward);
+    return choice.m_token;
+  }
+
+  Upstream& upstream(Token aToken) { return *m_directory.findUpstream(aToken); }
+
+  TimePoint m_now{ kStart };
+  registry::Revision m_revision{};
+  Directory m_directory{ "near" };
+  ColdBudget m_coldBudget{ kSelf, { .m_factor = 1.5, .m_slack = 5 } };
+  Placement m_placement{ m_directory, m_coldBudget, 7 };
+  TokenSteering m_steering{ m_directory, m_placement, 1024 };
+};
+
+} // namespace
+
+TEST_CASE("a packet goes where its token says, on a host that never saw the flow")
+{
+  Fixture first;
+  Fixture second;
+  for (uint64_t identity = 1; identity <= 5; ++identity) {
+    first.addUpstream(Fixture::record(identity));
+    second.addUpstream(Fixture::record(identity));
+  }
+  const Token token = first.open(1);
+  const Choice choice = second.decide(second.request(1, token));
+  CHECK(choice.m_action == Action::Forward);
+  CHECK(choice.m_identity == first.upstream(token).m_record.m_identity);
+}
+
+TEST_CASE("requests that callers repeat while they are worked on are no sign of silence")
+{
+  // A calm day: some answers take 250 ms, and callers repeat after 200 ms.
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  for (uint16_t flow = 1; flow <= 10; ++flow) {
+    CHECK(fixture.decide(fixture.request(flow, token)).m_action == Action::Forward);
+    fixture.wait(Millis{ 200 });
+    CHECK(fixture.decide(fixture.request(flow, token)).m_action == Action::Forward);
+    fixture.wait(Millis{ 50 });
+  }
+  CHECK(fixture.upstream(token).m_health.silences() == 0);
+  CHECK_FALSE(fixture.upstream(token).m_health.isAvoided(fixture.m_now));
+}
+
+TEST_CASE("a caller of a slow service is not cut off")
+{
+  // Answers take 2 s each; nothing is wrong.
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  uint32_t sequence = 101;
+  uint32_t acknowledged = 1;
+  for (int round = 0; round < 10; ++round) {
+    REQUIRE(fixture.decide(fixture.request(1, token, sequence, acknowledged)).m_action ==
+            Action::Forward);
+    fixture.wait(Millis{ 200 });
+    fixture.decide(fixture.request(1, token, sequence, acknowledged));
+    fixture.wait(Millis{ 1800 });
+    sequence += 200;
+    acknowledged += 1000;
+    FlowPacket acknowledgement = fixture.request(1, token, sequence, acknowledged);
+    acknowledgement.m_length = 0;
+    fixture.decide(acknowledgement);
+  }
+  fixture.decide(fixture.request(1, token, sequence, acknowledged));
+  for (const int waited : { 200, 400, 800 }) {
+    fixture.wait(Millis{ waited });
+    CHECK(fixture.decide(fixture.request(1, token, sequence, acknowledged)).m_action ==
+          Action::Forward);
+  }
+}
+
+TEST_CASE(
+  "a crashed upstream: the copy of an opening packet goes elsewhere, and new flows avoid it")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  fixture.addUpstream(Fixture::record(2));
+  const Token dead = fixture.open(1);
+  fixture.wait(Millis{ 200 });
+  const Choice again = fixture.decide(fixture.opening(1, kSafePort, 1));
+  CHECK(again.m_action == Action::Forward);
+  CHECK(again.m_token != dead);
+  for (uint16_t flow = 2; flow < 40; ++flow) {
+    CHECK(fixture.open(flow) != dead);
+  }
+  // It answers a flow that was open before: it is used again.
+  fixture.decide(fixture.request(500, dead));
+  fixture.decide(fixture.request(500, dead, 301, 1001));
+  CHECK_FALSE(fixture.upstream(dead).m_health.isAvoided(fixture.m_now));
+}
+
+TEST_CASE("a request that waits in vain is reset only when it may be repeated")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  fixture.decide(fixture.request(1, token));
+  fixture.decide(fixture.request(2, token, 101, 1, kUnsafePort));
+  fixture.wait(Millis{ 600 });
+  const Choice safe = fixture.decide(fixture.request(1, token));
+  CHECK(safe.m_action == Action::Reset);
+  CHECK(safe.m_error == ErrorKind::UpstreamSilent);
+  CHECK(fixture.decide(fixture.request(2, token, 101, 1, kUnsafePort)).m_action == Action::Forward);
+}
+
+TEST_CASE("requests to an upstream that has ended are reset at once, of either kind")
+{
+  Fixture fixture;
+  registry::UpstreamRecord record = Fixture::record(1);
+  fixture.addUpstream(record);
+  const Token token = fixture.open(1);
+  record.m_state = UpstreamState::Draining;
+  fixture.addUpstream(record);
+  CHECK(fixture.decide(fixture.request(1, token)).m_action == Action::Forward);
+  CHECK(fixture.decide(fixture.opening(2)).m_error == ErrorKind::NoCapacity);
+  fixture.removeUpstream(1);
+  CHECK(fixture.decide(fixture.request(1, token, 301)).m_action == Action::Reset);
+  CHECK(fixture.decide(fixture.request(3, token, 101, 1, kUnsafePort)).m_action == Action::Reset);
+}
+
+TEST_CASE(
+  "an upstream that vanishes from the store without a notice keeps its flows while it answers")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  fixture.removeUpstream(1);
+  CHECK(fixture.decide(fixture.request(1, token)).m_action == Action::Forward);
+  CHECK(fixture.decide(fixture.opening(2)).m_action == Action::Reset);
+  fixture.wait(Millis{ 600 });
+  CHECK(fixture.decide(fixture.request(1, token)).m_error == ErrorKind::UpstreamGone);
+}
+
+TEST_CASE("entries that lapse while the store is away are used until they have stayed away")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  fixture.removeUpstream(1, true);
+  CHECK(fixture.open(2) == token);
+  fixture.wait(kLapseGrace);
+  CHECK(fixture.decide(fixture.opening(3)).m_action == Action::Reset);
+  fixture.addUpstream(Fixture::record(1));
+  CHECK(fixture.open(4) == token);
+}
+
+TEST_CASE("an address that another upstream took over tells that the former one has ended")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  registry::UpstreamRecord other = Fixture::record(2);
+  other.m_address = Fixture::record(1).m_address;
+  other.m_startedAtMs = 2000;
+  other.m_service = "manuals";
+  fixture.addUpstream(other);
+  CHECK(fixture.decide(fixture.request(1, token)).m_error == ErrorKind::UpstreamGone);
+}
+
+TEST_CASE("a new start under the same name gets a token of its own")
+{
+  Fixture fixture;
+  registry::UpstreamRecord record = Fixture::record(1);
+  fixture.addUpstream(record);
+  const Token before = fixture.open(1);
+  record.m_startedAtMs = 5000;
+  fixture.addUpstream(record);
+  const Token after = fixture.open(2);
+  CHECK(after != before);
+  CHECK(fixture.decide(fixture.request(1, before)).m_action == Action::Reset);
+}
+
+TEST_CASE("without trusted records nothing is said not to exist")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const FlowPacket stranger = fixture.opening(1, 9999);
+  CHECK(fixture.decide(stranger).m_action == Action::Reset);
+  CHECK(fixture.decide(fixture.request(1, Token{ 77 })).m_action == Action::Reset);
+  fixture.m_now += kTrustedViewAge + Millis{ 1 };
+  CHECK(fixture.decide(stranger).m_action == Action::Drop);
+  CHECK(fixture.decide(fixture.request(1, Token{ 77 })).m_action == Action::Drop);
+}
+
+TEST_CASE("a data centre that loses half of its upstreams sends half of its flows away")
+{
+  Fixture fixture;
+  for (uint64_t identity = 1; identity <= 4; ++identity) {
+    fixture.addUpstream(Fixture::record(identity));
+    fixture.addUpstream(Fixture::record(identity + 10, "far"));
+  }
+  fixture.wait(Millis{ 100 });
+  const auto localShare = [&fixture] {
+    int local = 0;
+    for (uint16_t flow = 0; flow < 1000; ++flow) {
+      local += fixture.upstream(fixture.open(flow)).m_isLocal ? 1 : 0;
+    }
+    return local;
+  };
+  CHECK(localShare() == 1000);
+  fixture.removeUpstream(1);
+  fixture.removeUpstream(2);
+  const int share = localShare();
+  CHECK(share > 400);
+  CHECK(share < 600);
+}
+
+TEST_CASE("a data centre that is taken out gets no new flows, and its upstreams return as cold")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  fixture.addUpstream(Fixture::record(2, "far"));
+  const Token near = fixture.open(1);
+  fixture.apply({ { RecordKind::DataCentreOut, "near" }, 50, registry::DataCentreOutRecord{} });
+  const Token far = fixture.open(2);
+  CHECK(far != near);
+  CHECK(fixture.decide(fixture.request(1, near)).m_action == Action::Forward);
+  fixture.apply({ { RecordKind::DataCentreOut, "near" }, 51, std::nullopt });
+  CHECK(fixture.open(3) == far);
+  fixture.wait(Millis{ 2000 } + kColdReportDelay);
+  CHECK(fixture.open(4) == near);
+}
+
+TEST_CASE("cold upstreams of a service that is all cold get no more than their share, by one host")
+{
+  Fixture fixture;
+  registry::UpstreamRecord record = Fixture::record(1);
+  record.m_warmUpLeft = Millis{ 10'000 };
+  fixture.addUpstream(record);
+  CHECK(fixture.decide(fixture.opening(1)).m_action == Action::Reset);
+  fixture.m_coldBudget.setReaders(true, {});
+  int placed = 0;
+  for (uint16_t flow = 2; flow < 200; ++flow) {
+    placed += fixture.decide(fixture.opening(flow)).m_action == Action::Forward ? 1 : 0;
+    fixture.wait(Millis{ 5 });
+  }
+  // The limit is 10 * 1.5 + 5 in a second of all hosts.
+  CHECK(placed >= 5);
+  CHECK(placed <= 9);
+}
+
+TEST_CASE("a token names one start of one upstream")
+{
+  const Token token = makeToken(1, 1000);
+  CHECK(token != makeToken(1, 1001));
+  CHECK(token != makeToken(2, 1000));
+  CHECK(token == makeToken(1, 1000));
+}
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -64,7 +64,7 @@
   aEvent.m_flow = aPacket.m_flow;
   aEvent.m_copy = aPacket.m_opens ? aPacket.m_copy : 0;
   aEvent.m_revision = m_view.m_revision;
-  aEvent.m_viewAge = aNow - m_view.m_confirmedAt;
+  aEvent.m_viewAge = ageOf(aNow, m_view.m_confirmedAt);
   m_events.add(aEvent);
 }
 
@@ -153,7 +153,10 @@
   FlowState& flow = m_flows.findOrAdd(aNow, keyOf(aPacket.m_flow));
   const Repetition seen = track(aNow, aPacket, flow, *upstream);
   if (upstream->m_presence >= Presence::Missing) {
-    return decideAbsent(aNow, aPacket, flow, *upstream, seen.m_isRepeat);
+    if (seen.m_isHopeless) {
+      noteSilence(aNow, aPacket, *upstream);
+    }
+    return decideAbsent(aNow, aPacket, flow, *upstream);
   }
   return decidePresent(aNow, aPacket, flow, *upstream, seen);
 }
@@ -181,8 +184,10 @@
     aFlow.m_repeats = 0;
     seen.m_isProgress = true;
     if (aFlow.m_requestAt != TimePoint{}) {
+      const Millis time = aNow - aFlow.m_requestAt;
+      aUpstream.m_service->m_responses.add(time);
       if (m_observer) {
-        m_observer(aNow - aFlow.m_requestAt);
+        m_observer(time);
       }
       aFlow.m_requestAt = {};
     }
@@ -199,7 +204,9 @@
     return seen;
   }
   if (isKnown) {
-    seen.m_isRepeat = true;
+    // Callers repeat after 200 ms, which many answers take: only the time of waiting tells.
+    seen.m_isHopeless = aFlow.m_requestAt != TimePoint{} &&
+                        aNow - aFlow.m_requestAt >= aUpstream.m_service->m_responses.silence();
     aFlow.m_repeats = static_cast<uint8_t>(std::min(aFlow.m_repeats + 1, 255));
     ++m_counters.m_repeats;
   }
@@ -221,12 +228,11 @@
 TokenSteering::decideAbsent(TimePoint aNow,
                             const FlowPacket& aPacket,
                             const FlowState& aFlow,
-                            const Upstream& aUpstream,
-                            bool aIsRepeat)
+                            Upstream& aUpstream)
 {
   // Whatever is not a request goes on: the upstream may be alive and only cut off from the store.
-  const bool isSure = aUpstream.m_presence == Presence::Ended && aPacket.m_length > 0;
-  if (isSure || aIsRepeat) {
+  const bool isGone = aUpstream.m_presence == Presence::Ended || aUpstream.m_health.silences() > 0;
+  if (isGone && aPacket.m_length > 0) {
     return refuse(aNow, aPacket, ErrorKind::UpstreamGone, EventId::FlowReset, &aFlow);
   }
   return forward(aUpstream);
@@ -242,12 +248,11 @@
   if (aSeen.m_isProgress && aUpstream.m_health.onProgress(aNow)) {
     record(aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
   }
-  if (!aSeen.m_isRepeat) {
-    return forward(aUpstream);
+  if (aSeen.m_isHopeless) {
+    noteSilence(aNow, aPacket, aUpstream);
   }
-  noteSilence(aNow, aPacket, aUpstream);
-  const bool isHopeless = aFlow.m_repeats >= kRepeatsBeforeReset || aUpstream.m_health.isDead(aNow);
-  if (isHopeless && mayRepeat(aPacket)) {
+  const bool isDead = aPacket.m_length > 0 && aUpstream.m_health.isDead(aNow);
+  if ((aSeen.m_isHopeless || isDead) && mayRepeat(aPacket)) {
     return refuse(aNow, aPacket, ErrorKind::UpstreamSilent, EventId::FlowReset, &aFlow);
   }
   return forward(aUpstream);
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -16,9 +16,6 @@
 /// After its first reading a host waits for entries that lapsed to come back before it calls a
 /// token that it has never seen gone.
 inline constexpr Millis kLearningTime{ 4000 };
-/// A caller that has sent the same bytes this often gets a reset, if its request may be repeated.
-inline constexpr uint8_t kRepeatsBeforeReset = 2;
-
 /// What the records that decisions rest on are worth.
 struct View
 {
@@ -29,6 +26,13 @@
   TimePoint m_loadedAt;
 };
 
+/// The age of records for logs; -1 ms when nothing has confirmed them yet.
+[[nodiscard]] inline Millis
+ageOf(TimePoint aNow, TimePoint aConfirmedAt)
+{
+  return aConfirmedAt == TimePoint{} ? Millis{ -1 } : aNow - aConfirmedAt;
+}
+
 struct SteeringCounters
 {
   uint64_t m_packets{};
@@ -64,7 +68,8 @@
 private:
   struct Repetition
   {
-    bool m_isRepeat{};
+    /// The caller repeats a request that has waited for longer than any answer takes.
+    bool m_isHopeless{};
     bool m_isProgress{};
   };
 
@@ -74,8 +79,7 @@
   Choice decideAbsent(TimePoint aNow,
                       const FlowPacket& aPacket,
                       const FlowState& aFlow,
-                      const Upstream& aUpstream,
-                      bool aIsRepeat);
+                      Upstream& aUpstream);
   Choice decidePresent(TimePoint aNow,
                        const FlowPacket& aPacket,
                        const FlowState& aFlow,
