[dissemination] One reader a data centre; reports of silence count once a host

Change: a report names its witness and counts once; a sign of life on any host ends all reports. Readers serve one data centre; a host whose records nobody confirms also asks other data centres. A cold start that goes on is no change.

--- a/lib/base/Events.cpp
+++ b/lib/base/Events.cpp
@@ -43,7 +43,7 @@
     "A newer version of the configuration is in force on this host." },
   { EventId::ReadingStarted,
     "reading-started",
-    "This host reads the store for the hosts of its region." },
+    "This host reads the store for the hosts of its data centre." },
   { EventId::ReadingStopped, "reading-stopped", "Other hosts read the store for this one." },
   { EventId::ViewStale,
     "view-stale",
--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -39,7 +39,7 @@
 bool
 Peers::isFreshReader(TimePoint aNow, const Peer& aPeer) const
 {
-  return aPeer.m_isReader && aPeer.m_region == m_options.m_region && isLive(aNow, aPeer) &&
+  return aPeer.m_isReader && aPeer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, aPeer) &&
          aPeer.m_confirmedAt != TimePoint{} && aNow - aPeer.m_confirmedAt <= kFreshAge;
 }
 
@@ -78,14 +78,14 @@
     candidates.push_back({ m_options.m_capacity, m_options.m_self });
   }
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_region == m_options.m_region && isLive(aNow, peer)) {
+    if (peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer)) {
       candidates.push_back({ peer.m_capacity, host });
     }
   }
   const auto isPreferred = [](const Candidate& aLeft, const Candidate& aRight) {
     return ranksBefore(aLeft.m_capacity, aLeft.m_host, aRight.m_capacity, aRight.m_host);
   };
-  const size_t count = std::min(kReadersPerRegion, candidates.size());
+  const size_t count = std::min(kReadersPerDataCentre, candidates.size());
   std::ranges::partial_sort(candidates, candidates.begin() + static_cast<long>(count), isPreferred);
   std::vector<HostId> best;
   for (size_t index = 0; index < count; ++index) {
@@ -104,7 +104,7 @@
 }
 
 void
-Peers::meet(HostId aHost, const std::string& aRegion)
+Peers::meet(HostId aHost, const std::string& aDataCentre)
 {
   if (aHost == m_options.m_self || !aHost || m_peers.contains(aHost)) {
     return;
@@ -118,7 +118,7 @@
     }
     m_peers.erase(stranger);
   }
-  m_peers.emplace(aHost, Peer{ .m_region = aRegion });
+  m_peers.emplace(aHost, Peer{ .m_dataCentre = aDataCentre });
 }
 
 Reaction
@@ -128,9 +128,9 @@
     return {};
   }
   for (const KnownHost& host : aStatus.m_known) {
-    meet(host.m_host, host.m_region);
+    meet(host.m_host, host.m_dataCentre);
   }
-  meet(aStatus.m_sender, aStatus.m_region);
+  meet(aStatus.m_sender, aStatus.m_dataCentre);
   const auto found = m_peers.find(aStatus.m_sender);
   if (found == m_peers.end()) {
     return {};
@@ -141,7 +141,6 @@
     m_peers.erase(found);
     return {};
   }
-  peer.m_region = aStatus.m_region;
   peer.m_dataCentre = aStatus.m_dataCentre;
   peer.m_incarnation = aStatus.m_incarnation;
   peer.m_capacity = aStatus.m_capacity;
@@ -155,7 +154,7 @@
   confirmThrough(peer);
   Reaction reaction{ .m_isPullDue = aStatus.m_revision > aOwnRevision };
   const bool isBehind = aStatus.m_revision < aOwnRevision;
-  if ((isNew || isBehind) && aNow - peer.m_answeredAt >= kAnswerInterval) {
+  if ((isNew || isBehind || aStatus.m_isAsking) && aNow - peer.m_answeredAt >= kAnswerInterval) {
     peer.m_answeredAt = aNow;
     reaction.m_isAnswerDue = true;
   }
@@ -204,7 +203,7 @@
     betterReaders += isFreshReader(aNow, peer) && isBetter(host, peer) ? 1 : 0;
   }
   if (m_isReader) {
-    if (betterReaders < kReadersPerRegion) {
+    if (betterReaders < kReadersPerDataCentre) {
       m_dispensableSince = {};
     } else if (m_dispensableSince == TimePoint{}) {
       m_dispensableSince = aNow;
@@ -243,25 +242,25 @@
     return targets;
   }
   m_lastStatusAt = aNow;
-  const bool isSettled = freshReaders(aNow) + (m_isReader ? 1 : 0) >= kReadersPerRegion;
+  const bool isSettled = freshReaders(aNow) + (m_isReader ? 1 : 0) >= kReadersPerDataCentre;
+  const bool isStale = aNow - m_confirmedAt > kOwnReadingAge;
   std::vector<HostId> strangers;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_region != m_options.m_region) {
-      continue;
-    }
-    const bool isWanted = m_isReader || peer.m_isReader;
-    if (m_isAnnouncementDue || (isWanted && peer.m_heardAt != TimePoint{})) {
+    const bool isNeighbour = peer.m_dataCentre == m_options.m_dataCentre;
+    if (isNeighbour && (m_isAnnouncementDue ||
+                        ((m_isReader || peer.m_isReader) && peer.m_heardAt != TimePoint{}))) {
       targets.push_back(host);
-    } else if (peer.m_heardAt == TimePoint{}) {
+    } else if (isStale || (isNeighbour && peer.m_heardAt == TimePoint{})) {
       strangers.push_back(host);
     }
   }
   m_isAnnouncementDue = false;
-  // Hosts that are only known from others are greeted one at a time.
-  if (!strangers.empty() && (m_isReader || !isSettled)) {
+  // Others are greeted one at a time: neighbours that are only known from others, and any host when
+  // nothing confirms the records of this one.
+  if (!strangers.empty() && (m_isReader || !isSettled || isStale)) {
     targets.push_back(strangers[m_random() % strangers.size()]);
   }
-  const Millis interval = isSettled ? kSeedIntervalWhenSettled : kSeedInterval;
+  const Millis interval = isSettled && !isStale ? kSeedIntervalWhenSettled : kSeedInterval;
   if (m_lastSeedAt == TimePoint{} || aNow - m_lastSeedAt >= interval) {
     m_lastSeedAt = aNow;
     for (const HostId seed : m_options.m_seeds) {
@@ -284,7 +283,7 @@
 {
   std::vector<HostId> hosts;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_region == m_options.m_region && isLive(aNow, peer)) {
+    if (peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer)) {
       hosts.push_back(host);
     }
   }
@@ -296,7 +295,7 @@
 {
   std::vector<HostId> hosts;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_isReader && peer.m_region == m_options.m_region && isLive(aNow, peer)) {
+    if (peer.m_isReader && peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer)) {
       hosts.push_back(host);
     }
   }
@@ -304,25 +303,28 @@
 }
 
 Status
-Peers::makeStatus(TimePoint aNow, registry::Revision aRevision)
+Peers::makeStatus(TimePoint aNow, registry::Revision aRevision, bool aNamesHosts)
 {
   Status status{ .m_sender = m_options.m_self,
-                 .m_region = m_options.m_region,
                  .m_dataCentre = m_options.m_dataCentre,
                  .m_incarnation = m_options.m_incarnation,
                  .m_capacity = m_options.m_capacity,
                  .m_isReader = m_isReader,
                  .m_isLeaving = m_isLeaving,
+                 .m_isAsking = aNow - m_confirmedAt > kOwnReadingAge,
                  .m_revision = aRevision,
                  .m_ageMs = m_confirmedAt == TimePoint{} ? -1 : (aNow - m_confirmedAt).count(),
                  .m_known = {},
                  .m_nominees = m_isReader ? nominees(aNow) : std::vector<HostId>{},
                  .m_sightings = {},
                  .m_difference = {} };
+  if (!aNamesHosts) {
+    return status;
+  }
   std::vector<KnownHost> heard;
   for (const auto& [host, peer] : m_peers) {
     if (isLive(aNow, peer)) {
-      heard.push_back({ host, peer.m_region });
+      heard.push_back({ host, peer.m_dataCentre });
     }
   }
   std::ranges::shuffle(heard, m_random);
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -1,4 +1,5 @@
-// Which hosts of a region read the store for the others, and how new the records of this host are.
+// Which host of a data centre reads the store for the others, and how new the records of this host
+// are.
 //
 // A reader says so in each of its messages, and names the best hosts that it hears: those read,
 // too, and a reader that hears enough better ones stops. Seeds begin. Nothing is agreed on: two
@@ -15,8 +16,8 @@
 
 namespace tamarack::dissemination {
 
-/// Two, so that the loss of one is not felt.
-inline constexpr size_t kReadersPerRegion = 2;
+/// The loss of the only one is felt for less than the bounds allow: see kOwnReadingAge.
+inline constexpr size_t kReadersPerDataCentre = 1;
 /// Between two messages of a host to those that need them.
 inline constexpr Millis kStatusInterval{ 500 };
 /// A host that was silent for this long is no longer counted on: three messages.
@@ -37,15 +38,16 @@
 /// Seeds are greeted this often while too few hosts are known, and rarely after.
 inline constexpr Millis kSeedInterval{ 1000 };
 inline constexpr Millis kSeedIntervalWhenSettled{ 10'000 };
-/// Hosts that a message names besides its sender.
-inline constexpr size_t kKnownPerStatus = 6;
-/// Hosts that are remembered; a region of the design size has 160.
-inline constexpr size_t kMostPeers = 512;
+/// Hosts that an answer to a new host names besides its sender.
+inline constexpr size_t kKnownPerStatus = 8;
+/// One regular message in so many names hosts, too.
+inline constexpr uint64_t kKnownShare = 8;
+/// Hosts that are remembered; a data centre of the design size has 61.
+inline constexpr size_t kMostPeers = 256;
 
 struct PeersOptions
 {
   HostId m_self;
-  std::string m_region;
   std::string m_dataCentre;
   uint32_t m_capacity{};
   uint64_t m_incarnation{};
@@ -87,11 +89,13 @@
   /// Whom to send what just changed, when this host reads the store.
   [[nodiscard]] std::vector<HostId> listeners(TimePoint aNow) const;
   /// A status of this host; sightings and a difference are up to the caller.
-  [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision);
+  [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision, bool aNamesHosts);
+  /// Whether a regular status shall name other hosts.
+  [[nodiscard]] bool isNamingDue() { return m_statuses++ % kKnownShare == 0; }
 
-  /// Live hosts of the region that this host hears.
+  /// Live hosts of the data centre that this host hears.
   [[nodiscard]] std::vector<HostId> live(TimePoint aNow) const;
-  /// Live readers of the region without this host.
+  /// Live readers of the data centre without this host.
   [[nodiscard]] std::vector<HostId> readers(TimePoint aNow) const;
   [[nodiscard]] size_t freshReaders(TimePoint aNow) const;
   [[nodiscard]] size_t size() const { return m_peers.size(); }
@@ -99,7 +103,6 @@
 private:
   struct Peer
   {
-    std::string m_region;
     std::string m_dataCentre;
     uint64_t m_incarnation{};
     uint32_t m_capacity{};
@@ -121,7 +124,7 @@
   /// Whether this host should begin to read for others.
   [[nodiscard]] bool isElected(TimePoint aNow) const;
   [[nodiscard]] std::vector<HostId> nominees(TimePoint aNow) const;
-  void meet(HostId aHost, const std::string& aRegion);
+  void meet(HostId aHost, const std::string& aDataCentre);
   void forgetSilent(TimePoint aNow);
   void confirmThrough(const Peer& aPeer);
 
@@ -139,6 +142,7 @@
   registry::Revision m_revision{};
   TimePoint m_lastStatusAt;
   TimePoint m_lastSeedAt;
+  uint64_t m_statuses{};
 };
 
 } // namespace tamarack::dissemination
--- a/lib/dissemination/Status.cpp
+++ b/lib/dissemination/Status.cpp
@@ -18,7 +18,7 @@
 {
   Json known = Json::array();
   for (const KnownHost& host : aStatus.m_known) {
-    known.push_back(Json::array({ host.m_host.m_value, host.m_region }));
+    known.push_back(Json::array({ host.m_host.m_value, host.m_dataCentre }));
   }
   Json nominees = Json::array();
   for (const HostId nominee : aStatus.m_nominees) {
@@ -26,16 +26,17 @@
   }
   Json sightings = Json::array();
   for (const Sighting& sighting : aStatus.m_sightings) {
-    sightings.push_back(Json::array({ sighting.m_token, sighting.m_isAlive }));
+    sightings.push_back(
+      Json::array({ sighting.m_token, sighting.m_isAlive, sighting.m_witness.m_value }));
   }
   return Json::to_msgpack(Json::array({ kVersion,
                                         aStatus.m_sender.m_value,
-                                        aStatus.m_region,
                                         aStatus.m_dataCentre,
                                         aStatus.m_incarnation,
                                         aStatus.m_capacity,
                                         aStatus.m_isReader,
                                         aStatus.m_isLeaving,
+                                        aStatus.m_isAsking,
                                         aStatus.m_revision,
                                         aStatus.m_ageMs,
                                         std::move(known),
@@ -53,12 +54,12 @@
       return absl::InvalidArgumentError("a status of another version");
     }
     Status status{ .m_sender = HostId{ fields.at(1).get<uint32_t>() },
-                   .m_region = fields.at(2).get<std::string>(),
-                   .m_dataCentre = fields.at(3).get<std::string>(),
-                   .m_incarnation = fields.at(4).get<uint64_t>(),
-                   .m_capacity = fields.at(5).get<uint32_t>(),
-                   .m_isReader = fields.at(6).get<bool>(),
-                   .m_isLeaving = fields.at(7).get<bool>(),
+                   .m_dataCentre = fields.at(2).get<std::string>(),
+                   .m_incarnation = fields.at(3).get<uint64_t>(),
+                   .m_capacity = fields.at(4).get<uint32_t>(),
+                   .m_isReader = fields.at(5).get<bool>(),
+                   .m_isLeaving = fields.at(6).get<bool>(),
+                   .m_isAsking = fields.at(7).get<bool>(),
                    .m_revision = fields.at(8).get<registry::Revision>(),
                    .m_ageMs = fields.at(9).get<int64_t>(),
                    .m_known = {},
@@ -70,7 +71,9 @@
         { HostId{ host.at(0).get<uint32_t>() }, host.at(1).get<std::string>() });
     }
     for (const Json& sighting : fields.at(11)) {
-      status.m_sightings.push_back({ sighting.at(0).get<uint32_t>(), sighting.at(1).get<bool>() });
+      status.m_sightings.push_back({ sighting.at(0).get<uint32_t>(),
+                                     sighting.at(1).get<bool>(),
+                                     HostId{ sighting.at(2).get<uint32_t>() } });
     }
     for (const Json& nominee : fields.at(13)) {
       status.m_nominees.push_back(HostId{ nominee.get<uint32_t>() });
--- a/lib/dissemination/Status.h
+++ b/lib/dissemination/Status.h
@@ -15,7 +15,7 @@
 struct KnownHost
 {
   HostId m_host;
-  std::string m_region;
+  std::string m_dataCentre;
 };
 
 /// A callers' sign of life or silence of an upstream.
@@ -23,12 +23,13 @@
 {
   uint32_t m_token{};
   bool m_isAlive{};
+  /// The host whose caller it was.
+  HostId m_witness;
 };
 
 struct Status
 {
   HostId m_sender;
-  std::string m_region;
   std::string m_dataCentre;
   /// Rises with each start of the process.
   uint64_t m_incarnation{};
@@ -36,13 +37,15 @@
   uint32_t m_capacity{};
   bool m_isReader{};
   bool m_isLeaving{};
+  /// Nothing confirms the sender's records: whoever gets this shall answer.
+  bool m_isAsking{};
   /// The sender holds all changes up to this revision.
   registry::Revision m_revision{};
   /// How long ago the store confirmed that; negative before it ever did.
   int64_t m_ageMs{ -1 };
   /// Random live hosts that the sender hears.
   std::vector<KnownHost> m_known;
-  /// Of a reader: the hosts of its region that should read, by rank, among those that it hears.
+  /// Of a reader: the hosts of its data centre that should read, among those that it hears.
   std::vector<HostId> m_nominees;
   std::vector<Sighting> m_sightings;
   /// An encoded registry::Difference, or nothing.
--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -126,7 +126,6 @@
     const auto incarnation =
       static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
     return { .m_peers = { .m_self = HostId{ aSettings.m_packets.m_address.m_value },
-                          .m_region = aSettings.m_region,
                           .m_dataCentre = aSettings.m_dataCentre,
                           .m_capacity = static_cast<uint32_t>(aSettings.m_cpuShare * 1000),
                           .m_incarnation = incarnation,
--- a/lib/edge/EdgeSettings.cpp
+++ b/lib/edge/EdgeSettings.cpp
@@ -77,7 +77,6 @@
   EdgeSettings edge;
   edge.m_host = reader.text("host");
   edge.m_dataCentre = reader.text("data_centre");
-  edge.m_region = reader.text("region");
   edge.m_packets = readEndpoint(reader, "packets");
   edge.m_readiness = readEndpoint(reader, "readiness");
   edge.m_readinessPath = reader.text("readiness_path");
--- a/lib/edge/EdgeSettings.h
+++ b/lib/edge/EdgeSettings.h
@@ -23,7 +23,6 @@
 {
   std::string m_host;
   std::string m_dataCentre;
-  std::string m_region;
   /// Datagrams with packets. Packets for callers go to the same port number.
   Endpoint m_packets;
   Endpoint m_readiness;
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -19,6 +19,7 @@
   , m_coldBudget(aOptions.m_peers.m_self, aOptions.m_coldLimits)
   , m_placement(m_directory, m_coldBudget, aOptions.m_seed)
   , m_steering(m_directory, m_placement, aOptions.m_flowPlaces)
+  , m_self(aOptions.m_peers.m_self)
   , m_peers(std::move(aOptions.m_peers))
 {
 }
@@ -86,14 +87,12 @@
 {
   steering::Upstream* const upstream =
     m_directory.findUpstream(steering::Token{ aSighting.m_token });
-  if (upstream == nullptr) {
+  if (upstream == nullptr || aSighting.m_witness == m_self) {
     return;
   }
-  if (aSighting.m_isAlive) {
-    upstream->m_health.onReportedProgress();
-    return;
-  }
-  const bool isNews = upstream->m_health.onSilence(aNow);
+  const bool isNews = aSighting.m_isAlive
+                        ? upstream->m_health.onProgress(aNow)
+                        : upstream->m_health.onReportedSilence(aNow, aSighting.m_witness);
   if (isNews && m_isReader && m_sightings.size() < kMostSightings) {
     m_sightings.push_back(aSighting);
   }
@@ -108,7 +107,7 @@
     const bool isSilence = event.m_event == EventId::UpstreamAvoided;
     const bool isProgress = event.m_event == EventId::UpstreamAnswers;
     if ((isSilence || isProgress) && m_sightings.size() < kMostSightings) {
-      m_sightings.push_back({ event.m_token.m_value, isProgress });
+      m_sightings.push_back({ event.m_token.m_value, isProgress, m_self });
     }
   }
 }
@@ -159,10 +158,10 @@
 }
 
 std::vector<uint8_t>
-Host::makeStatus(TimePoint aNow)
+Host::makeStatus(TimePoint aNow, bool aNamesHosts)
 {
   collectSightings();
-  dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete());
+  dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete(), aNamesHosts);
   status.m_sightings = m_sightings;
   if (m_isReader && m_pushedRevision > 0 && m_pushedRevision < m_registry.complete()) {
     std::vector<uint8_t> difference =
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -53,7 +53,7 @@
   void note(EventId aEvent, std::string aFields);
 
   /// A status with what changed since the last one that was pushed, when that fits.
-  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow);
+  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow, bool aNamesHosts);
   [[nodiscard]] bool hasNews() const;
   /// The next status goes on from here.
   void onPushed();
@@ -84,6 +84,7 @@
   steering::ColdBudget m_coldBudget;
   steering::Placement m_placement;
   steering::TokenSteering m_steering;
+  HostId m_self;
   dissemination::Peers m_peers;
   std::vector<Line> m_lines;
   /// For the next status.
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -54,7 +54,7 @@
 {
   const auto targets = m_host.peers().dueTargets(aNow);
   if (!targets.empty()) {
-    send(m_host.makeStatus(aNow), targets);
+    send(m_host.makeStatus(aNow, m_host.peers().isNamingDue()), targets);
     m_host.onPushed();
     return;
   }
@@ -71,7 +71,7 @@
   const auto targets =
     m_host.isReader() ? m_host.peers().listeners(aNow) : m_host.peers().readers(aNow);
   if (!targets.empty()) {
-    send(m_host.makeStatus(aNow), targets);
+    send(m_host.makeStatus(aNow, false), targets);
   }
   m_host.onPushed();
 }
@@ -79,7 +79,7 @@
 void
 PeerLink::announce(TimePoint aNow)
 {
-  send(m_host.makeStatus(aNow), m_host.peers().live(aNow));
+  send(m_host.makeStatus(aNow, true), m_host.peers().live(aNow));
 }
 
 void
@@ -105,7 +105,7 @@
   const dissemination::Reaction reaction = m_host.onStatus(now, *status);
   if (reaction.m_isAnswerDue) {
     const std::array<HostId, 1> target{ status->m_sender };
-    send(m_host.makeStatus(now), target);
+    send(m_host.makeStatus(now, true), target);
   }
   if (reaction.m_isPullDue) {
     pullFrom(now, status->m_sender);
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -17,7 +17,7 @@
 /// What a call may take beyond its wait. A slow store needs 200 ms an answer.
 inline constexpr Millis kCallDeadline{ 700 };
 /// Changes that come sooner after a call are read together with those that follow.
-inline constexpr Millis kCallInterval{ 250 };
+inline constexpr Millis kCallInterval{ 400 };
 /// After a failure, the next call waits this long, then twice as long, up to the last.
 inline constexpr Millis kFirstRetry{ 200 };
 inline constexpr Millis kLastRetry{ 1600 };
--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -11,6 +11,22 @@
 /// Removed records that are kept for other hosts; a host that lacks more gets a snapshot.
 constexpr size_t kMostRemovals = 4096;
 
+/// Whether a record only says that a cold start has gone on, which its receivers reckon with
+/// anyway.
+bool
+isWarmingOn(const std::optional<Record>& aHeld, const std::optional<Record>& aNew)
+{
+  const auto* const held = aHeld ? std::get_if<UpstreamRecord>(&*aHeld) : nullptr;
+  const auto* const next = aNew ? std::get_if<UpstreamRecord>(&*aNew) : nullptr;
+  if (held == nullptr || next == nullptr || next->m_warmUpLeft == Millis{} ||
+      next->m_warmUpLeft >= held->m_warmUpLeft) {
+    return false;
+  }
+  UpstreamRecord same = *next;
+  same.m_warmUpLeft = held->m_warmUpLeft;
+  return same == *held;
+}
+
 bool
 isOfConfiguration(RecordKind aKind)
 {
@@ -28,6 +44,9 @@
     return false;
   }
   const bool isRemoval = !aChange.m_record.has_value();
+  if (found != m_records.end() && isWarmingOn(found->second.m_record, aChange.m_record)) {
+    return false;
+  }
   if (found == m_records.end()) {
     m_records.emplace(aChange.m_key,
                       Versioned{ aChange.m_revision, aChange.m_record, aChange.m_mayReturn });
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -356,6 +356,28 @@
   CHECK(placed <= 9);
 }
 
+TEST_CASE("one lost packet that readers report twice does not make an upstream dead")
+{
+  // A fleet of eighty: each host sees few flows, and two readers pass each report on.
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  PassiveHealth& health = fixture.upstream(token).m_health;
+  for (int report = 0; report < 4; ++report) {
+    health.onReportedSilence(fixture.m_now, HostId{ 5 });
+    fixture.wait(Millis{ 200 });
+  }
+  CHECK(fixture.decide(fixture.request(1, token)).m_action == Action::Forward);
+  // Three hosts whose callers wait, and no answer anywhere: the next request need not wait.
+  for (const uint32_t host : { 6, 7, 8 }) {
+    health.onReportedSilence(fixture.m_now, HostId{ host });
+  }
+  fixture.wait(kSilenceOfDead);
+  CHECK(fixture.decide(fixture.request(1, token, 301)).m_action == Action::Reset);
+  CHECK(health.onProgress(fixture.m_now));
+  CHECK(fixture.decide(fixture.request(1, token, 501)).m_action == Action::Forward);
+}
+
 TEST_CASE("a token names one start of one upstream")
 {
   const Token token = makeToken(1, 1000);
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -85,6 +85,17 @@
   return { .m_action = isSilent ? Action::Drop : Action::Reset, .m_error = aKind };
 }
 
+Choice
+TokenSteering::resetFlow(TimePoint aNow,
+                         const FlowPacket& aPacket,
+                         FlowState& aFlow,
+                         ErrorKind aKind)
+{
+  const Choice choice = refuse(aNow, aPacket, aKind, EventId::FlowReset, &aFlow);
+  aFlow = {};
+  return choice;
+}
+
 void
 TokenSteering::noteSilence(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream)
 {
@@ -227,13 +238,13 @@
 Choice
 TokenSteering::decideAbsent(TimePoint aNow,
                             const FlowPacket& aPacket,
-                            const FlowState& aFlow,
+                            FlowState& aFlow,
                             Upstream& aUpstream)
 {
   // Whatever is not a request goes on: the upstream may be alive and only cut off from the store.
   const bool isGone = aUpstream.m_presence == Presence::Ended || aUpstream.m_health.silences() > 0;
   if (isGone && aPacket.m_length > 0) {
-    return refuse(aNow, aPacket, ErrorKind::UpstreamGone, EventId::FlowReset, &aFlow);
+    return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamGone);
   }
   return forward(aUpstream);
 }
@@ -241,7 +252,7 @@
 Choice
 TokenSteering::decidePresent(TimePoint aNow,
                              const FlowPacket& aPacket,
-                             const FlowState& aFlow,
+                             FlowState& aFlow,
                              Upstream& aUpstream,
                              Repetition aSeen)
 {
@@ -253,7 +264,7 @@
   }
   const bool isDead = aPacket.m_length > 0 && aUpstream.m_health.isDead(aNow);
   if ((aSeen.m_isHopeless || isDead) && mayRepeat(aPacket)) {
-    return refuse(aNow, aPacket, ErrorKind::UpstreamSilent, EventId::FlowReset, &aFlow);
+    return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamSilent);
   }
   return forward(aUpstream);
 }
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -78,11 +78,11 @@
   Choice decideUnknown(TimePoint aNow, const FlowPacket& aPacket);
   Choice decideAbsent(TimePoint aNow,
                       const FlowPacket& aPacket,
-                      const FlowState& aFlow,
+                      FlowState& aFlow,
                       Upstream& aUpstream);
   Choice decidePresent(TimePoint aNow,
                        const FlowPacket& aPacket,
-                       const FlowState& aFlow,
+                       FlowState& aFlow,
                        Upstream& aUpstream,
                        Repetition aSeen);
   Repetition track(TimePoint aNow,
@@ -90,6 +90,8 @@
                    FlowState& aFlow,
                    Upstream& aUpstream);
   Choice forward(const Upstream& aUpstream);
+  /// Resets an open flow, which the caller then gives up.
+  Choice resetFlow(TimePoint aNow, const FlowPacket& aPacket, FlowState& aFlow, ErrorKind aKind);
   Choice refuse(TimePoint aNow,
                 const FlowPacket& aPacket,
                 ErrorKind aKind,
