[dissemination] Hosts of a data centre elect their reader by hearing each other

Cause: ages of 1.5 s are usual for a watch of 1 s and messages every 0.5 s, so hosts read for themselves without need; a data centre without a seed elected 18 readers at once, since its hosts did not know each other; hosts cut off leavers. Change: a reader also says that nothing is new; the limit is 1.8 s; hosts greet their neighbours while there is no reader, and the best one heard reads.

--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -57,8 +57,8 @@
       return true;
     }
   }
-  if (freshReaders(aNow) > 0 || aNow - m_startedAt < kStatusInterval ||
-      std::ranges::find(m_options.m_seeds, m_options.m_self) == m_options.m_seeds.end()) {
+  if (m_unsettledSince == TimePoint{} || aNow - m_unsettledSince < kElectionWait ||
+      aNow - m_startedAt < kDiscoveryWait) {
     return false;
   }
   const auto best = nominees(aNow);
@@ -78,7 +78,7 @@
     candidates.push_back({ m_options.m_capacity, m_options.m_self });
   }
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer)) {
+    if (peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer) && !peer.m_isLeaving) {
       candidates.push_back({ peer.m_capacity, host });
     }
   }
@@ -137,14 +137,11 @@
   }
   Peer& peer = found->second;
   const bool isNew = !isLive(aNow, peer) || peer.m_incarnation != aStatus.m_incarnation;
-  if (aStatus.m_isLeaving) {
-    m_peers.erase(found);
-    return {};
-  }
   peer.m_dataCentre = aStatus.m_dataCentre;
   peer.m_incarnation = aStatus.m_incarnation;
   peer.m_capacity = aStatus.m_capacity;
-  peer.m_isReader = aStatus.m_isReader;
+  peer.m_isReader = aStatus.m_isReader && !aStatus.m_isLeaving;
+  peer.m_isLeaving = aStatus.m_isLeaving;
   peer.m_nominatesSelf =
     std::ranges::find(aStatus.m_nominees, m_options.m_self) != aStatus.m_nominees.end();
   peer.m_heardAt = aNow;
@@ -194,6 +191,12 @@
     m_startedAt = aNow;
   }
   forgetSilent(aNow);
+  if (m_isReader || freshReaders(aNow) >= kReadersPerDataCentre) {
+    m_unsettledSince = {};
+  } else if (m_unsettledSince == TimePoint{}) {
+    m_unsettledSince = aNow;
+    m_isAnnouncementDue = true;
+  }
   if (m_isLeaving) {
     m_isReader = false;
     return aNow - m_confirmedAt > kOwnReadingAge;
@@ -215,8 +218,8 @@
   m_dispensableSince = {};
   const auto step = static_cast<int64_t>(mixHash(m_options.m_self.m_value, 1) % kDelaySteps);
   const Millis age = aNow - std::max(m_confirmedAt, m_startedAt);
-  m_isReader = isElected(aNow) || age > kOwnReadingAge + kDelayStep * step;
-  m_isAnnouncementDue = m_isReader;
+  m_isReader = isElected(aNow) || age > kOwnReadingAge + kElectionPatience + kDelayStep * step;
+  m_isAnnouncementDue = m_isAnnouncementDue || m_isReader;
   return m_isReader;
 }
 
@@ -255,11 +258,12 @@
     }
   }
   m_isAnnouncementDue = false;
-  // Others are greeted one at a time: neighbours that are only known from others, and any host when
-  // nothing confirms the records of this one.
-  if (!strangers.empty() && (m_isReader || !isSettled || isStale)) {
-    targets.push_back(strangers[m_random() % strangers.size()]);
-  }
+  // Neighbours that are only known from others are greeted, and any host when nothing confirms the
+  // records of this one: many at a time only while there is no reader.
+  std::ranges::shuffle(strangers, m_random);
+  const size_t greetings = isSettled ? (m_isReader || isStale ? 1 : 0) : kMostGreetings;
+  strangers.resize(std::min(strangers.size(), greetings));
+  targets.insert(targets.end(), strangers.begin(), strangers.end());
   const Millis interval = isSettled && !isStale ? kSeedIntervalWhenSettled : kSeedInterval;
   if (m_lastSeedAt == TimePoint{} || aNow - m_lastSeedAt >= interval) {
     m_lastSeedAt = aNow;
@@ -303,34 +307,37 @@
 }
 
 Status
-Peers::makeStatus(TimePoint aNow, registry::Revision aRevision, bool aNamesHosts)
+Peers::makeStatus(TimePoint aNow, registry::Revision aRevision)
+{
+  return { .m_sender = m_options.m_self,
+           .m_dataCentre = m_options.m_dataCentre,
+           .m_incarnation = m_options.m_incarnation,
+           .m_capacity = m_options.m_capacity,
+           .m_isReader = m_isReader,
+           .m_isLeaving = m_isLeaving,
+           .m_isAsking = aNow - m_confirmedAt > kOwnReadingAge,
+           .m_revision = aRevision,
+           .m_ageMs = m_confirmedAt == TimePoint{} ? -1 : (aNow - m_confirmedAt).count(),
+           .m_known = {},
+           .m_nominees = m_isReader ? nominees(aNow) : std::vector<HostId>{},
+           .m_sightings = {},
+           .m_difference = {} };
+}
+
+void
+Peers::nameHosts(TimePoint aNow, std::string_view aDataCentre, Status& aStatus)
 {
-  Status status{ .m_sender = m_options.m_self,
-                 .m_dataCentre = m_options.m_dataCentre,
-                 .m_incarnation = m_options.m_incarnation,
-                 .m_capacity = m_options.m_capacity,
-                 .m_isReader = m_isReader,
-                 .m_isLeaving = m_isLeaving,
-                 .m_isAsking = aNow - m_confirmedAt > kOwnReadingAge,
-                 .m_revision = aRevision,
-                 .m_ageMs = m_confirmedAt == TimePoint{} ? -1 : (aNow - m_confirmedAt).count(),
-                 .m_known = {},
-                 .m_nominees = m_isReader ? nominees(aNow) : std::vector<HostId>{},
-                 .m_sightings = {},
-                 .m_difference = {} };
-  if (!aNamesHosts) {
-    return status;
-  }
   std::vector<KnownHost> heard;
   for (const auto& [host, peer] : m_peers) {
-    if (isLive(aNow, peer)) {
+    if (peer.m_heardAt != TimePoint{} && aNow - peer.m_heardAt <= kForgetPeer) {
       heard.push_back({ host, peer.m_dataCentre });
     }
   }
   std::ranges::shuffle(heard, m_random);
+  std::ranges::stable_partition(
+    heard, [&](const KnownHost& aHost) { return aHost.m_dataCentre == aDataCentre; });
   heard.resize(std::min(heard.size(), kKnownPerStatus));
-  status.m_known = std::move(heard);
-  return status;
+  aStatus.m_known = std::move(heard);
 }
 
 } // namespace tamarack::dissemination
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -20,26 +20,35 @@
 inline constexpr size_t kReadersPerDataCentre = 1;
 /// Between two messages of a host to those that need them.
 inline constexpr Millis kStatusInterval{ 500 };
-/// A host that was silent for this long is no longer counted on: three messages.
-inline constexpr Millis kSilenceOfPeer{ 1700 };
+/// A host that was silent for this long is no longer counted on: two of its messages may be lost.
+inline constexpr Millis kSilenceOfPeer{ 1300 };
 /// A host that was silent for this long is forgotten.
 inline constexpr Millis kForgetPeer{ 15'000 };
 /// A reader whose records were confirmed this long ago does not count as one.
-inline constexpr Millis kFreshAge{ 1600 };
-/// A host reads the store itself when nothing confirmed its records for this long. Bounds are 3 s,
-/// of which a reading may take one.
-inline constexpr Millis kOwnReadingAge{ 1500 };
+inline constexpr Millis kFreshAge{ 1900 };
+/// A host reads the store itself when nothing confirmed its records for this long. A watch takes
+/// 1 s, and one lost message half a second more; of the bound of 3 s, the rest is for the reading.
+inline constexpr Millis kOwnReadingAge{ 1800 };
 /// Hosts that lost their readers at the same time wait a little differently, so that the first one
 /// can tell the others: this many steps of this length.
 inline constexpr Millis kDelayStep{ 60 };
 inline constexpr uint64_t kDelaySteps = 8;
+/// A data centre without a reader: hosts tell each other of themselves for this long, and the best
+/// of them reads.
+inline constexpr Millis kElectionWait{ 250 };
+/// A host that has just started must first hear of the others.
+inline constexpr Millis kDiscoveryWait{ 800 };
+/// After the election, each reads for itself.
+inline constexpr Millis kElectionPatience{ 300 };
 /// A reader stops only after others have been enough for this long.
-inline constexpr Millis kReaderHold{ 2000 };
+inline constexpr Millis kReaderHold{ 1000 };
 /// Seeds are greeted this often while too few hosts are known, and rarely after.
 inline constexpr Millis kSeedInterval{ 1000 };
 inline constexpr Millis kSeedIntervalWhenSettled{ 10'000 };
 /// Hosts that an answer to a new host names besides its sender.
 inline constexpr size_t kKnownPerStatus = 8;
+/// Neighbours that a host greets at a time while its data centre has no reader.
+inline constexpr size_t kMostGreetings = 16;
 /// One regular message in so many names hosts, too.
 inline constexpr uint64_t kKnownShare = 8;
 /// Hosts that are remembered; a data centre of the design size has 61.
@@ -89,7 +98,9 @@
   /// Whom to send what just changed, when this host reads the store.
   [[nodiscard]] std::vector<HostId> listeners(TimePoint aNow) const;
   /// A status of this host; sightings and a difference are up to the caller.
-  [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision, bool aNamesHosts);
+  [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision);
+  /// Adds hosts that this one hears to a status, those of a data centre first.
+  void nameHosts(TimePoint aNow, std::string_view aDataCentre, Status& aStatus);
   /// Whether a regular status shall name other hosts.
   [[nodiscard]] bool isNamingDue() { return m_statuses++ % kKnownShare == 0; }
 
@@ -107,6 +118,8 @@
     uint64_t m_incarnation{};
     uint32_t m_capacity{};
     bool m_isReader{};
+    /// It still wants to know what is new, but nobody counts on it.
+    bool m_isLeaving{};
     /// The epoch when it is only known from others.
     TimePoint m_heardAt;
     /// When the store confirmed its records; the epoch before.
@@ -138,6 +151,8 @@
   /// Everybody known is told once that this host reads now.
   bool m_isAnnouncementDue{};
   TimePoint m_startedAt;
+  /// When no reader was left; the epoch while there is one.
+  TimePoint m_unsettledSince;
   TimePoint m_confirmedAt;
   registry::Revision m_revision{};
   TimePoint m_lastStatusAt;
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -20,6 +20,7 @@
   , m_placement(m_directory, m_coldBudget, aOptions.m_seed)
   , m_steering(m_directory, m_placement, aOptions.m_flowPlaces)
   , m_self(aOptions.m_peers.m_self)
+  , m_dataCentre(aOptions.m_peers.m_dataCentre)
   , m_peers(std::move(aOptions.m_peers))
 {
 }
@@ -158,10 +159,13 @@
 }
 
 std::vector<uint8_t>
-Host::makeStatus(TimePoint aNow, bool aNamesHosts)
+Host::makeStatus(TimePoint aNow, std::string_view aNamesHostsOf)
 {
   collectSightings();
-  dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete(), aNamesHosts);
+  dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete());
+  if (!aNamesHostsOf.empty()) {
+    m_peers.nameHosts(aNow, aNamesHostsOf, status);
+  }
   status.m_sightings = m_sightings;
   if (m_isReader && m_pushedRevision > 0 && m_pushedRevision < m_registry.complete()) {
     std::vector<uint8_t> difference =
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -53,7 +53,8 @@
   void note(EventId aEvent, std::string aFields);
 
   /// A status with what changed since the last one that was pushed, when that fits.
-  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow, bool aNamesHosts);
+  /// `aNamesHostsOf`: a data centre whose hosts the receiver should know of; empty for none.
+  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow, std::string_view aNamesHostsOf);
   [[nodiscard]] bool hasNews() const;
   /// The next status goes on from here.
   void onPushed();
@@ -61,6 +62,7 @@
   /// Whether the host knows routes and upstreams.
   [[nodiscard]] bool isLoaded() const { return m_registry.complete() > 0; }
   [[nodiscard]] bool isReader() const { return m_isReader; }
+  [[nodiscard]] const std::string& dataCentre() const { return m_dataCentre; }
   [[nodiscard]] Millis viewAge(TimePoint aNow) const;
   [[nodiscard]] std::vector<Line> takeLines(TimePoint aNow);
 
@@ -85,6 +87,7 @@
   steering::Placement m_placement;
   steering::TokenSteering m_steering;
   HostId m_self;
+  std::string m_dataCentre;
   dissemination::Peers m_peers;
   std::vector<Line> m_lines;
   /// For the next status.
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -54,24 +54,27 @@
 {
   const auto targets = m_host.peers().dueTargets(aNow);
   if (!targets.empty()) {
-    send(m_host.makeStatus(aNow, m_host.peers().isNamingDue()), targets);
+    const bool namesHosts = m_host.peers().isNamingDue();
+    send(m_host.makeStatus(aNow, namesHosts ? m_host.dataCentre() : ""), targets);
     m_host.onPushed();
     return;
   }
-  push(aNow);
+  if (m_host.hasNews()) {
+    push(aNow);
+  }
 }
 
 void
 PeerLink::push(TimePoint aNow)
 {
-  if (!m_host.hasNews()) {
+  if (!m_host.hasNews() && !m_host.isReader()) {
     return;
   }
   // A reader tells everybody; any other host tells the readers, which pass sightings on.
   const auto targets =
     m_host.isReader() ? m_host.peers().listeners(aNow) : m_host.peers().readers(aNow);
   if (!targets.empty()) {
-    send(m_host.makeStatus(aNow, false), targets);
+    send(m_host.makeStatus(aNow, {}), targets);
   }
   m_host.onPushed();
 }
@@ -79,7 +82,7 @@
 void
 PeerLink::announce(TimePoint aNow)
 {
-  send(m_host.makeStatus(aNow, true), m_host.peers().live(aNow));
+  send(m_host.makeStatus(aNow, {}), m_host.peers().live(aNow));
 }
 
 void
@@ -105,7 +108,7 @@
   const dissemination::Reaction reaction = m_host.onStatus(now, *status);
   if (reaction.m_isAnswerDue) {
     const std::array<HostId, 1> target{ status->m_sender };
-    send(m_host.makeStatus(now, true), target);
+    send(m_host.makeStatus(now, status->m_dataCentre), target);
   }
   if (reaction.m_isPullDue) {
     pullFrom(now, status->m_sender);
--- a/lib/edge/PeerLink.h
+++ b/lib/edge/PeerLink.h
@@ -21,7 +21,8 @@
   void onReport(std::function<ReportInputs()> aReport) { m_report = std::move(aReport); }
   /// Sends the statuses that are due.
   void step(TimePoint aNow);
-  /// Tells those that rely on this host at once what is new.
+  /// Tells those that rely on this host at once what is new. A reader also tells them that nothing
+  /// is.
   void push(TimePoint aNow);
   /// Tells every live host that this one leaves.
   void announce(TimePoint aNow);
