--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -191,8 +191,15 @@
       return;
     }
     m_isServing = true;
-    m_packets.receive([this](auto aDatagram) { onPacket(aDatagram); },
-                      [this] { m_packets.flush(); });
+    m_packets.receive([this](auto aDatagram) { onPacket(aDatagram); }, [this] { afterPackets(); });
+  }
+
+  void afterPackets()
+  {
+    m_packets.flush();
+    if (m_host.hasSightings()) {
+      m_peerLink.push(readClock());
+    }
   }
 
   void onPacket(std::span<const uint8_t> aDatagram)
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -183,6 +183,13 @@
   return !m_sightings.empty() || m_registry.complete() > m_pushedRevision;
 }
 
+bool
+Host::hasSightings()
+{
+  collectSightings();
+  return !m_sightings.empty();
+}
+
 void
 Host::onPushed()
 {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -56,6 +56,8 @@
   /// `aNamesHostsOf`: a data centre whose hosts the receiver should know of; empty for none.
   [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow, std::string_view aNamesHostsOf);
   [[nodiscard]] bool hasNews() const;
+  /// Whether callers' packets showed something that other hosts should know at once.
+  [[nodiscard]] bool hasSightings();
   /// The next status goes on from here.
   void onPushed();
 
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -110,6 +110,9 @@
     const std::array<HostId, 1> target{ status->m_sender };
     send(m_host.makeStatus(now, status->m_dataCentre), target);
   }
+  if (m_host.hasSightings()) {
+    push(now);
+  }
   if (reaction.m_isPullDue) {
     pullFrom(now, status->m_sender);
   }
--- a/lib/edge/Reports.cpp
+++ b/lib/edge/Reports.cpp
@@ -60,7 +60,7 @@
            { "cold", aUpstream.isCold(aNow) },
            { "data_centre_out", aUpstream.m_isOut },
            { "avoided", aUpstream.m_health.isAvoided(aNow) },
-           { "silences", aUpstream.m_health.silences() },
+           { "doubt", aUpstream.m_health.weight() },
            { "requests", aUpstream.m_requests.level(aNow) } };
 }
 
--- a/lib/steering/Placement.cpp
+++ b/lib/steering/Placement.cpp
@@ -5,6 +5,13 @@
 
 namespace {
 
+/// How many more requests a slot of a near upstream may have than one of a far one, before new
+/// flows go far: a request that queues for one and a half others waits longer than a packet between
+/// data centres takes, and bytes between them are dear.
+constexpr double kSpillMargin = 1.5;
+/// Upstreams of a group that are compared. Two are enough against herds; more even out the few
+/// upstreams of one data centre.
+constexpr size_t kCompared = 4;
 /// A kept flow sends about one request a second, which takes an upstream a twentieth of one.
 constexpr double kFlowWeight = 0.05;
 
@@ -24,35 +31,37 @@
   void see(Upstream& aUpstream, std::minstd_rand& aRandom)
   {
     ++m_seen;
-    // Reservoir sampling: each upstream is among the two with the same chance.
-    if (m_seen <= 2) {
-      m_drawn[m_seen - 1] = &aUpstream;
-      return;
-    }
-    const size_t place = aRandom() % m_seen;
-    if (place < 2) {
+    // Reservoir sampling: each upstream is among those compared with the same chance.
+    const size_t place = m_seen <= kCompared ? m_seen - 1 : aRandom() % m_seen;
+    if (place < kCompared) {
       m_drawn[place] = &aUpstream;
     }
   }
 
   [[nodiscard]] size_t seen() const { return m_seen; }
 
+  /// The one with the least load, or null when none was seen. Places are in random order only when
+  /// there are many, so the search starts anywhere.
   [[nodiscard]] Upstream* best(TimePoint aNow, std::minstd_rand& aRandom) const
   {
-    if (m_seen < 2) {
-      return m_drawn[0];
-    }
-    const double first = loadOf(*m_drawn[0], aNow);
-    const double second = loadOf(*m_drawn[1], aNow);
-    if (first == second) {
-      return m_drawn[aRandom() % 2];
+    const size_t count = std::min(m_seen, kCompared);
+    Upstream* best = nullptr;
+    double least = 0;
+    const size_t start = count == 0 ? 0 : aRandom() % count;
+    for (size_t step = 0; step < count; ++step) {
+      Upstream* const upstream = m_drawn[(start + step) % count];
+      const double load = loadOf(*upstream, aNow);
+      if (best == nullptr || load < least) {
+        best = upstream;
+        least = load;
+      }
     }
-    return first < second ? m_drawn[0] : m_drawn[1];
+    return best;
   }
 
 private:
   size_t m_seen{};
-  std::array<Upstream*, 2> m_drawn{};
+  std::array<Upstream*, kCompared> m_drawn{};
 };
 
 Service*
@@ -101,10 +110,14 @@
   const double share =
     std::min(1.0, static_cast<double>(local.seen()) / std::max(1.0, service->m_localStrength));
   const double point = static_cast<double>(m_random()) / static_cast<double>(m_random.max());
-  const bool staysLocal = local.seen() > 0 && (remote.seen() == 0 || point <= share);
-  Upstream* const chosen = (staysLocal ? local : remote).best(aNow, m_random);
-  if (chosen != nullptr) {
-    return chosen;
+  Upstream* const near = local.best(aNow, m_random);
+  Upstream* const far = remote.best(aNow, m_random);
+  if (near != nullptr && far != nullptr) {
+    const bool isCrowded = loadOf(*near, aNow) > loadOf(*far, aNow) + kSpillMargin;
+    return point <= share && !isCrowded ? near : far;
+  }
+  if (near != nullptr || far != nullptr) {
+    return near != nullptr ? near : far;
   }
   Upstream* const doubtful = avoided.best(aNow, m_random);
   return doubtful != nullptr ? doubtful : chooseCold(aNow, *service, aRequest.m_avoid);
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -104,7 +104,7 @@
            aPacket,
            { .m_event = EventId::UpstreamAvoided,
              .m_token = aUpstream.m_token,
-             .m_repeats = aUpstream.m_health.silences() });
+             .m_repeats = aUpstream.m_health.weight() });
   }
 }
 
@@ -144,6 +144,7 @@
   };
   chosen->m_requests.add(aNow);
   chosen->m_flows.add(aNow);
+  chosen->m_health.onTried(aNow);
   const bool isAgain = aPacket.m_copy > 0;
   ++(isAgain ? m_counters.m_openedAgain : m_counters.m_opened);
   record(aNow,
@@ -193,6 +194,7 @@
   if (isAfter(aPacket.m_acknowledged, aFlow.m_acknowledged)) {
     aFlow.m_acknowledged = aPacket.m_acknowledged;
     aFlow.m_repeats = 0;
+    aFlow.m_isCounted = false;
     seen.m_isProgress = true;
     if (aFlow.m_requestAt != TimePoint{}) {
       const Millis time = aNow - aFlow.m_requestAt;
@@ -218,6 +220,9 @@
     // Callers repeat after 200 ms, which many answers take: only the time of waiting tells.
     seen.m_isHopeless = aFlow.m_requestAt != TimePoint{} &&
                         aNow - aFlow.m_requestAt >= aUpstream.m_service->m_responses.silence();
+    if (aFlow.m_repeats == 0) {
+      aUpstream.m_health.onRepeat(aNow);
+    }
     aFlow.m_repeats = static_cast<uint8_t>(std::min(aFlow.m_repeats + 1, 255));
     ++m_counters.m_repeats;
   }
@@ -242,7 +247,7 @@
                             Upstream& aUpstream)
 {
   // Whatever is not a request goes on: the upstream may be alive and only cut off from the store.
-  const bool isGone = aUpstream.m_presence == Presence::Ended || aUpstream.m_health.silences() > 0;
+  const bool isGone = aUpstream.m_presence == Presence::Ended || aUpstream.m_health.isSilent();
   if (isGone && aPacket.m_length > 0) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamGone);
   }
@@ -259,7 +264,8 @@
   if (aSeen.m_isProgress && aUpstream.m_health.onProgress(aNow)) {
     record(aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
   }
-  if (aSeen.m_isHopeless) {
+  if (aSeen.m_isHopeless && !aFlow.m_isCounted) {
+    aFlow.m_isCounted = true;
     noteSilence(aNow, aPacket, aUpstream);
   }
   const bool isDead = aPacket.m_length > 0 && aUpstream.m_health.isDead(aNow);
