[dissemination] Messages between hosts are bounded while nobody reaches the store

Change: only a host that the store answers claims to be a reader; only the best one pushes; greetings, answers, pushes and what is read of them are limited; a host that never reached the store stops when another does. Signs of silence are weighed by how rare they are on this host, for links that lose packets.

--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -94,6 +94,15 @@
   return best;
 }
 
+size_t
+Peers::betterReaders(TimePoint aNow) const
+{
+  return static_cast<size_t>(
+    std::count_if(m_peers.begin(), m_peers.end(), [this, aNow](const auto& aEntry) {
+      return isFreshReader(aNow, aEntry.second) && isBetter(aEntry.first, aEntry.second);
+    }));
+}
+
 size_t
 Peers::freshReaders(TimePoint aNow) const
 {
@@ -151,7 +160,8 @@
   confirmThrough(peer);
   Reaction reaction{ .m_isPullDue = aStatus.m_revision > aOwnRevision };
   const bool isBehind = aStatus.m_revision < aOwnRevision;
-  if ((isNew || isBehind || aStatus.m_isAsking) && aNow - peer.m_answeredAt >= kAnswerInterval) {
+  if ((isNew || isBehind || aStatus.m_isAsking) && aNow - peer.m_answeredAt >= kAnswerInterval &&
+      m_answers.take(aNow)) {
     peer.m_answeredAt = aNow;
     reaction.m_isAnswerDue = true;
   }
@@ -201,12 +211,12 @@
     m_isReader = false;
     return aNow - m_confirmedAt > kOwnReadingAge;
   }
-  size_t betterReaders = 0;
-  for (const auto& [host, peer] : m_peers) {
-    betterReaders += isFreshReader(aNow, peer) && isBetter(host, peer) ? 1 : 0;
+  if (m_isReader && !servesOthers(aNow) && freshReaders(aNow) >= kReadersPerDataCentre) {
+    // It never reached the store, and others do.
+    m_isReader = false;
   }
   if (m_isReader) {
-    if (betterReaders < kReadersPerDataCentre) {
+    if (betterReaders(aNow) < kReadersPerDataCentre) {
       m_dispensableSince = {};
     } else if (m_dispensableSince == TimePoint{}) {
       m_dispensableSince = aNow;
@@ -245,25 +255,26 @@
     return targets;
   }
   m_lastStatusAt = aNow;
-  const bool isSettled = freshReaders(aNow) + (m_isReader ? 1 : 0) >= kReadersPerDataCentre;
+  const bool serves = servesOthers(aNow);
+  const bool isSettled = serves || freshReaders(aNow) >= kReadersPerDataCentre;
   const bool isStale = aNow - m_confirmedAt > kOwnReadingAge;
-  std::vector<HostId> strangers;
+  std::vector<HostId> others;
   for (const auto& [host, peer] : m_peers) {
     const bool isNeighbour = peer.m_dataCentre == m_options.m_dataCentre;
-    if (isNeighbour && (m_isAnnouncementDue ||
-                        ((m_isReader || peer.m_isReader) && peer.m_heardAt != TimePoint{}))) {
+    const bool wasHeard = peer.m_heardAt != TimePoint{};
+    if (isNeighbour && (m_isAnnouncementDue || (wasHeard && (serves || peer.m_isReader)))) {
       targets.push_back(host);
-    } else if (isStale || (isNeighbour && peer.m_heardAt == TimePoint{})) {
-      strangers.push_back(host);
+    } else if (isStale || (isNeighbour && (!wasHeard || !isSettled))) {
+      others.push_back(host);
     }
   }
   m_isAnnouncementDue = false;
-  // Neighbours that are only known from others are greeted, and any host when nothing confirms the
-  // records of this one: many at a time only while there is no reader.
-  std::ranges::shuffle(strangers, m_random);
-  const size_t greetings = isSettled ? (m_isReader || isStale ? 1 : 0) : kMostGreetings;
-  strangers.resize(std::min(strangers.size(), greetings));
-  targets.insert(targets.end(), strangers.begin(), strangers.end());
+  // Neighbours that are only known from others are greeted, all neighbours while there is no
+  // reader, and any host when nothing confirms the records of this one.
+  std::ranges::shuffle(others, m_random);
+  const size_t greetings = isSettled && !isStale ? (serves ? 1 : 0) : kMostGreetings;
+  others.resize(std::min(others.size(), greetings));
+  targets.insert(targets.end(), others.begin(), others.end());
   const Millis interval = isSettled && !isStale ? kSeedIntervalWhenSettled : kSeedInterval;
   if (m_lastSeedAt == TimePoint{} || aNow - m_lastSeedAt >= interval) {
     m_lastSeedAt = aNow;
@@ -279,7 +290,8 @@
 std::vector<HostId>
 Peers::listeners(TimePoint aNow) const
 {
-  return m_isReader ? live(aNow) : std::vector<HostId>{};
+  const bool isFirst = servesOthers(aNow) && betterReaders(aNow) == 0;
+  return isFirst ? live(aNow) : std::vector<HostId>{};
 }
 
 std::vector<HostId>
@@ -313,13 +325,13 @@
            .m_dataCentre = m_options.m_dataCentre,
            .m_incarnation = m_options.m_incarnation,
            .m_capacity = m_options.m_capacity,
-           .m_isReader = m_isReader,
+           .m_isReader = servesOthers(aNow),
            .m_isLeaving = m_isLeaving,
            .m_isAsking = aNow - m_confirmedAt > kOwnReadingAge,
            .m_revision = aRevision,
            .m_ageMs = m_confirmedAt == TimePoint{} ? -1 : (aNow - m_confirmedAt).count(),
            .m_known = {},
-           .m_nominees = m_isReader ? nominees(aNow) : std::vector<HostId>{},
+           .m_nominees = servesOthers(aNow) ? nominees(aNow) : std::vector<HostId>{},
            .m_sightings = {},
            .m_difference = {} };
 }
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -7,6 +7,7 @@
 // nobody confirms reads the store itself, whatever the others say.
 #pragma once
 
+#include "base/RateLimit.h"
 #include "dissemination/Status.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -41,14 +42,18 @@
 /// After the election, each reads for itself.
 inline constexpr Millis kElectionPatience{ 300 };
 /// A reader stops only after others have been enough for this long.
-inline constexpr Millis kReaderHold{ 1000 };
+inline constexpr Millis kReaderHold{ 400 };
 /// Seeds are greeted this often while too few hosts are known, and rarely after.
 inline constexpr Millis kSeedInterval{ 1000 };
 inline constexpr Millis kSeedIntervalWhenSettled{ 10'000 };
 /// Hosts that an answer to a new host names besides its sender.
 inline constexpr size_t kKnownPerStatus = 8;
-/// Neighbours that a host greets at a time while its data centre has no reader.
-inline constexpr size_t kMostGreetings = 16;
+/// Hosts that a host greets at a time while its data centre has no reader, or that it asks while
+/// nothing confirms its records. A store that is down makes all hosts ask at once.
+inline constexpr size_t kMostGreetings = 4;
+/// Answers that a host gives in a second, and at once after a quiet time.
+inline constexpr double kAnswersPerSecond = 10;
+inline constexpr double kAnswerBurst = 40;
 /// One regular message in so many names hosts, too.
 inline constexpr uint64_t kKnownShare = 8;
 /// Hosts that are remembered; a data centre of the design size has 61.
@@ -85,7 +90,12 @@
 
   /// Decides whether this host reads the store now. Call it at each tick.
   [[nodiscard]] bool updateReading(TimePoint aNow);
+  /// Whether this host calls the store; others may count on it only while the store answers.
   [[nodiscard]] bool isReader() const { return m_isReader; }
+  [[nodiscard]] bool servesOthers(TimePoint aNow) const
+  {
+    return m_isReader && aNow - m_confirmedAt <= kFreshAge;
+  }
   /// A leaving host reads for itself but not for others.
   void setLeaving() { m_isLeaving = true; }
   void setSeeds(std::vector<HostId> aSeeds) { m_options.m_seeds = std::move(aSeeds); }
@@ -95,7 +105,7 @@
 
   /// Whom to send a status now, and whether it is one of the regular ones.
   [[nodiscard]] std::vector<HostId> dueTargets(TimePoint aNow);
-  /// Whom to send what just changed, when this host reads the store.
+  /// Whom to send what just changed: everybody, if this is the best reader, and nobody otherwise.
   [[nodiscard]] std::vector<HostId> listeners(TimePoint aNow) const;
   /// A status of this host; sightings and a difference are up to the caller.
   [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision);
@@ -131,6 +141,8 @@
   };
 
   [[nodiscard]] bool isLive(TimePoint aNow, const Peer& aPeer) const;
+  /// Readers that are preferred to this host.
+  [[nodiscard]] size_t betterReaders(TimePoint aNow) const;
   [[nodiscard]] bool isFreshReader(TimePoint aNow, const Peer& aPeer) const;
   /// Whether a peer is preferred to this host as a reader.
   [[nodiscard]] bool isBetter(HostId aHost, const Peer& aPeer) const;
@@ -158,6 +170,7 @@
   TimePoint m_lastStatusAt;
   TimePoint m_lastSeedAt;
   uint64_t m_statuses{};
+  RateLimit m_answers{ kAnswersPerSecond, kAnswerBurst };
 };
 
 } // namespace tamarack::dissemination
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -212,23 +212,18 @@
 Host::takeFlowLines(TimePoint aNow, std::vector<Line>& aLines)
 {
   collectSightings();
-  const double seconds = static_cast<double>((aNow - m_lineBudgetAt).count()) / 1000;
-  m_lineBudget = std::min(kFlowLineBurst, m_lineBudget + seconds * kFlowLinesPerSecond);
-  m_lineBudgetAt = aNow;
   steering::FlowEvents& events = m_steering.events();
   for (const steering::FlowEvent& event : events.events()) {
-    if (m_lineBudget < 1) {
+    if (!m_flowLines.take(aNow)) {
       ++m_omittedLines;
       continue;
     }
-    m_lineBudget -= 1;
     aLines.push_back({ event.m_event, steering::formatFlowEvent(event) });
   }
   events.clear();
   m_sightedEvents = 0;
   const uint64_t omitted = m_omittedLines + events.lost();
-  if (omitted > m_reportedOmittedLines && m_lineBudget >= 1) {
-    m_lineBudget -= 1;
+  if (omitted > m_reportedOmittedLines && m_flowLines.take(aNow)) {
     aLines.push_back(
       { EventId::LinesOmitted, "lines=" + std::to_string(omitted - m_reportedOmittedLines) });
     m_reportedOmittedLines = omitted;
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -2,6 +2,7 @@
 // readings, messages and the time go in; choices, messages and log lines come out.
 #pragma once
 
+#include "base/RateLimit.h"
 #include "dissemination/Peers.h"
 #include "registry/Registry.h"
 #include "steering/TokenSteering.h"
@@ -100,8 +101,7 @@
   TimePoint m_loadedAt;
   bool m_isReader{};
   bool m_isViewStale{};
-  double m_lineBudget{ kFlowLineBurst };
-  TimePoint m_lineBudgetAt;
+  RateLimit m_flowLines{ kFlowLinesPerSecond, kFlowLineBurst };
   uint64_t m_omittedLines{};
   uint64_t m_reportedOmittedLines{};
 };
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -67,16 +67,19 @@
 void
 PeerLink::push(TimePoint aNow)
 {
-  if (!m_host.hasNews() && !m_host.isReader()) {
+  // The best reader tells everybody; any other host tells the readers, which pass sightings on.
+  auto targets = m_host.peers().listeners(aNow);
+  if (targets.empty() && m_host.hasNews()) {
+    targets = m_host.peers().readers(aNow);
+  }
+  if (targets.empty()) {
+    m_host.onPushed();
     return;
   }
-  // A reader tells everybody; any other host tells the readers, which pass sightings on.
-  const auto targets =
-    m_host.isReader() ? m_host.peers().listeners(aNow) : m_host.peers().readers(aNow);
-  if (!targets.empty()) {
+  if (m_pushes.take(aNow)) {
     send(m_host.makeStatus(aNow, {}), targets);
+    m_host.onPushed();
   }
-  m_host.onPushed();
 }
 
 void
@@ -100,6 +103,10 @@
 {
   const TimePoint now = readClock();
   m_counters.m_statusBytesReceived += aBytes.size();
+  if (!m_statuses.take(now)) {
+    ++m_counters.m_statusesDropped;
+    return;
+  }
   const auto status = dissemination::decodeStatus(aBytes);
   if (!status.ok()) {
     ++m_counters.m_malformed[static_cast<size_t>(ErrorKind::PacketUnsupported)];
--- a/lib/edge/PeerLink.h
+++ b/lib/edge/PeerLink.h
@@ -2,6 +2,7 @@
 // over HTTP/2, and the address where operators ask for dumps.
 #pragma once
 
+#include "base/RateLimit.h"
 #include "edge/EdgeSettings.h"
 #include "edge/Host.h"
 #include "edge/Reports.h"
@@ -10,6 +11,14 @@
 
 namespace tamarack::edge {
 
+/// Pushes of a host in a second besides its regular statuses. Many sightings travel in one.
+inline constexpr double kPushesPerSecond = 5;
+inline constexpr double kPushBurst = 10;
+/// Statuses that a host reads in a second: at 0.1 ms each, half of what control may take. A reader
+/// of a data centre of the design size gets 122.
+inline constexpr double kStatusesPerSecond = 200;
+inline constexpr double kStatusBurst = 200;
+
 class PeerLink
 {
 public:
@@ -45,6 +54,8 @@
   std::unique_ptr<transport::Client> m_pull;
   HostId m_pulledHost;
   bool m_isPulling{};
+  RateLimit m_pushes{ kPushesPerSecond, kPushBurst };
+  RateLimit m_statuses{ kStatusesPerSecond, kStatusBurst };
 };
 
 } // namespace tamarack::edge
--- a/lib/edge/Reports.cpp
+++ b/lib/edge/Reports.cpp
@@ -60,7 +60,7 @@
            { "cold", aUpstream.isCold(aNow) },
            { "data_centre_out", aUpstream.m_isOut },
            { "avoided", aUpstream.m_health.isAvoided(aNow) },
-           { "doubt", aUpstream.m_health.weight() },
+           { "evidence_of_silence", aUpstream.m_health.evidence() },
            { "requests", aUpstream.m_requests.level(aNow) } };
 }
 
@@ -91,6 +91,8 @@
   addMetric(text,
             "status_bytes_received_total",
             static_cast<double>(aInputs.m_counters.m_statusBytesReceived));
+  addMetric(
+    text, "statuses_dropped_total", static_cast<double>(aInputs.m_counters.m_statusesDropped));
   addMetric(text, "pulls_total", static_cast<double>(aInputs.m_counters.m_pulls));
   addMetric(text, "log_lines_omitted_total", static_cast<double>(host.omittedLines()));
   addMetric(text, "store_revision", static_cast<double>(host.registry().complete()));
--- a/lib/edge/Reports.h
+++ b/lib/edge/Reports.h
@@ -18,6 +18,8 @@
   uint64_t m_statusBytesSent{};
   uint64_t m_statusBytesReceived{};
   uint64_t m_pulls{};
+  /// Statuses that came faster than a host reads them.
+  uint64_t m_statusesDropped{};
   ErrorCounters m_malformed{};
 };
 
--- a/lib/steering/FlowTable.h
+++ b/lib/steering/FlowTable.h
@@ -24,8 +24,6 @@
   uint8_t m_repeats{};
   /// A packet after the opening one was seen.
   bool m_isOpen{};
-  /// Its waiting in vain was counted against the upstream.
-  bool m_isCounted{};
 };
 
 class FlowTable
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -1,6 +1,6 @@
 // Judges an upstream by what its callers do: packets that have to be sent again are signs of
 // silence, answers that are acknowledged are signs of life. It answers upstreams that crash or are
-// cut off between two readings of the store, without probes.
+// cut off between two readings of the store, without probes, also while links lose packets.
 #pragma once
 
 #include "base/Types.h"
@@ -15,14 +15,15 @@
 inline constexpr Millis kFirstAvoidance{ 1000 };
 /// Longest time of avoidance, after which one new flow tries the upstream again.
 inline constexpr Millis kLongestAvoidance{ 8000 };
-/// What the signs weigh. Of requests on a calm day, one in fifty is repeated while it is worked on;
-/// opening packets are repeated only when they or their answers are lost.
-inline constexpr uint32_t kWeightOfRepeat = 1;
-inline constexpr uint32_t kWeightOfSilence = 2;
-/// From this weight on without a sign of life, an upstream counts as dead; one flow gives three.
-inline constexpr uint32_t kWeightOfDead = 4;
-/// As many hosts with signs of silence say the same.
-inline constexpr uint32_t kWitnessesOfDead = 3;
+/// Evidence, in nats of surprise, from which on new flows avoid an upstream: one repeated opening
+/// packet where less than one in twelve is repeated.
+inline constexpr double kEvidenceOfSilence = 2.5;
+/// Evidence from which on an upstream counts as dead: by chance, once in 1,800 times.
+inline constexpr double kEvidenceOfDeath = 7.5;
+/// What the silence that another host saw adds: three of them are enough.
+inline constexpr double kEvidenceOfWitness = 2.5;
+/// Other hosts that are remembered as witnesses.
+inline constexpr size_t kMostWitnesses = 4;
 /// The signs must span this time, so that one lost batch of datagrams is not enough.
 inline constexpr Millis kSpanOfDead{ 100 };
 /// After its avoidance has ended, an upstream that has not answered gets one new flow at a time.
@@ -31,11 +32,12 @@
 class PassiveHealth
 {
 public:
-  /// A caller of this host waits in vain. Returns whether avoidance begins.
-  bool onSilence(TimePoint aNow)
+  /// A caller of this host repeats a packet; `aSurprise` says how rarely that happens to living
+  /// upstreams. Returns whether avoidance begins.
+  bool onSilence(TimePoint aNow, double aSurprise)
   {
-    doubt(aNow, kWeightOfSilence);
-    if (isAvoided(aNow)) {
+    doubt(aNow, aSurprise);
+    if (isAvoided(aNow) || m_evidence < kEvidenceOfSilence) {
       return false;
     }
     m_avoidance =
@@ -44,9 +46,6 @@
     return true;
   }
 
-  /// A caller of this host repeats a request that may still be worked on.
-  void onRepeat(TimePoint aNow) { doubt(aNow, kWeightOfRepeat); }
-
   /// A new flow goes there.
   void onTried(TimePoint aNow)
   {
@@ -58,7 +57,7 @@
   /// A caller acknowledged an answer. Returns whether that is news.
   bool onProgress(TimePoint aNow)
   {
-    const bool wasDoubted = isAvoided(aNow) || m_weight >= kWeightOfSilence || m_witnessCount > 0;
+    const bool wasDoubted = isAvoided(aNow) || isSilent() || m_witnessCount > 0;
     *this = {};
     return wasDoubted;
   }
@@ -68,13 +67,12 @@
   bool onReportedSilence(TimePoint aNow, HostId aWitness)
   {
     const auto known = m_witnesses.begin() + m_witnessCount;
-    if (std::find(m_witnesses.begin(), known, aWitness) != known) {
+    if (m_witnessCount == kMostWitnesses ||
+        std::find(m_witnesses.begin(), known, aWitness) != known) {
       return false;
     }
-    doubt(aNow, 0);
-    if (m_witnessCount < m_witnesses.size()) {
-      m_witnesses[m_witnessCount++] = aWitness;
-    }
+    doubt(aNow, kEvidenceOfWitness);
+    m_witnesses[m_witnessCount++] = aWitness;
     m_avoidedUntil = std::max(m_avoidedUntil, aNow + kFirstAvoidance);
     return true;
   }
@@ -83,27 +81,24 @@
   /// Several callers wait for it, and nothing has come from it for a while.
   [[nodiscard]] bool isDead(TimePoint aNow) const
   {
-    const uint32_t hosts = m_witnessCount + (m_weight > 0 ? 1 : 0);
-    return (m_weight >= kWeightOfDead || hosts >= kWitnessesOfDead) &&
-           aNow - m_silentSince >= kSpanOfDead;
+    return m_evidence >= kEvidenceOfDeath && aNow - m_silentSince >= kSpanOfDead;
   }
-  /// Whether a caller of this host waits in vain.
-  [[nodiscard]] bool isSilent() const { return m_weight >= kWeightOfSilence; }
-  [[nodiscard]] uint32_t weight() const { return m_weight; }
+  [[nodiscard]] bool isSilent() const { return m_evidence >= kEvidenceOfSilence; }
+  [[nodiscard]] double evidence() const { return m_evidence; }
 
 private:
-  void doubt(TimePoint aNow, uint32_t aWeight)
+  void doubt(TimePoint aNow, double aEvidence)
   {
-    if (m_weight == 0 && m_witnessCount == 0) {
+    if (m_evidence == 0) {
       m_silentSince = aNow;
     }
-    m_weight += aWeight;
+    m_evidence += aEvidence;
   }
 
-  /// Of the signs on this host since the last sign of life.
-  uint32_t m_weight{};
+  /// Of silence since the last sign of life, in nats.
+  double m_evidence{};
   /// Other hosts that saw silence since then; the first m_witnessCount are set.
-  std::array<HostId, kWitnessesOfDead> m_witnesses{};
+  std::array<HostId, kMostWitnesses> m_witnesses{};
   uint32_t m_witnessCount{};
   TimePoint m_silentSince;
   Millis m_avoidance{};
--- a/lib/steering/Placement.h
+++ b/lib/steering/Placement.h
@@ -1,7 +1,7 @@
 // Chooses the upstream of a new flow. Loads it answers: the usual day, where the nearest upstreams
 // save bytes between data centres; a data centre that loses part of its upstreams, where that part
-// of its flows goes elsewhere; all callers at once after an outage, by way of the first host that is
-// back, when the nearest upstreams alone would shed; crashed and slow upstreams, which callers'
+// of its flows goes elsewhere; all callers at once after an outage, by way of the first host that
+// is back, when the nearest upstreams alone would shed; crashed and slow upstreams, which callers'
 // repeated packets give away; a service that is all cold.
 #pragma once
 
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <map>
+#include <random>
 
 using namespace tamarack;
 using namespace tamarack::steering;
@@ -223,7 +224,9 @@
   const Token token = fixture.open(1);
   fixture.decide(fixture.request(1, token));
   fixture.decide(fixture.request(2, token, 101, 1, kUnsafePort));
-  fixture.wait(Millis{ 600 });
+  fixture.wait(Millis{ 200 });
+  CHECK(fixture.decide(fixture.request(1, token)).m_action == Action::Forward);
+  fixture.wait(Millis{ 400 });
   const Choice safe = fixture.decide(fixture.request(1, token));
   CHECK(safe.m_action == Action::Reset);
   CHECK(safe.m_error == ErrorKind::UpstreamSilent);
@@ -251,6 +254,38 @@
         Action::Forward);
 }
 
+TEST_CASE("links that lose a third of the packets do not make living upstreams dead")
+{
+  // Callers on a lossy link: a third of the opening packets and of the requests are repeated, some
+  // of them twice; every upstream answers in the end.
+  Fixture fixture;
+  for (uint64_t identity = 1; identity <= 5; ++identity) {
+    fixture.addUpstream(Fixture::record(identity));
+  }
+  std::minstd_rand random(11);
+  const auto isLost = [&random] { return random() % 3 == 0; };
+  int resets = 0;
+  for (uint16_t flow = 1; flow <= 2000; ++flow) {
+    Choice choice = fixture.decide(fixture.opening(flow));
+    fixture.wait(Millis{ 100 });
+    for (uint32_t copy = 1; copy <= 2 && isLost(); ++copy) {
+      choice = fixture.decide(fixture.opening(flow, kSafePort, copy));
+    }
+    Choice carried = fixture.decide(fixture.request(flow, choice.m_token));
+    for (const int waited : { 200, 400 }) {
+      if (isLost()) {
+        fixture.wait(Millis{ waited });
+        carried = fixture.decide(fixture.request(flow, choice.m_token));
+        resets += carried.m_action == Action::Reset ? 1 : 0;
+      }
+    }
+    if (carried.m_action == Action::Forward) {
+      fixture.acknowledge(flow, choice.m_token);
+    }
+  }
+  CHECK(resets <= 2);
+}
+
 TEST_CASE("all callers come back through one host: the nearest upstreams are not overrun")
 {
   // After an outage, 300 callers open their flows within a second; four near upstreams hold 20
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -97,14 +97,13 @@
 }
 
 void
-TokenSteering::noteSilence(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream)
+TokenSteering::noteSilence(TimePoint aNow,
+                           const FlowPacket& aPacket,
+                           Upstream& aUpstream,
+                           double aSurprise)
 {
-  if (aUpstream.m_health.onSilence(aNow)) {
-    record(aNow,
-           aPacket,
-           { .m_event = EventId::UpstreamAvoided,
-             .m_token = aUpstream.m_token,
-             .m_repeats = aUpstream.m_health.weight() });
+  if (aUpstream.m_health.onSilence(aNow, aSurprise)) {
+    record(aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = aUpstream.m_token });
   }
 }
 
@@ -130,7 +129,9 @@
       return forward(*silent);
     }
     if (silent != nullptr) {
-      noteSilence(aNow, aPacket, *silent);
+      const double surprise = m_openedAgain.surprise();
+      m_openedAgain.add(true);
+      noteSilence(aNow, aPacket, *silent, surprise);
     }
   }
   Upstream* const chosen =
@@ -165,8 +166,8 @@
   FlowState& flow = m_flows.findOrAdd(aNow, keyOf(aPacket.m_flow));
   const Repetition seen = track(aNow, aPacket, flow, *upstream);
   if (upstream->m_presence >= Presence::Missing) {
-    if (seen.m_isHopeless) {
-      noteSilence(aNow, aPacket, *upstream);
+    if (seen.m_evidence > 0) {
+      noteSilence(aNow, aPacket, *upstream, seen.m_evidence);
     }
     return decideAbsent(aNow, aPacket, flow, *upstream);
   }
@@ -185,6 +186,7 @@
   if (!isKnown) {
     // A flow that another host opened, or the first packet after the handshake: a sign of life.
     seen.m_isProgress = aFlow.m_token == aPacket.m_token;
+    m_openedAgain.add(false);
     aFlow.m_token = aPacket.m_token;
     aFlow.m_isOpen = true;
     aFlow.m_sequenceEnd = aPacket.m_sequence;
@@ -193,8 +195,8 @@
   }
   if (isAfter(aPacket.m_acknowledged, aFlow.m_acknowledged)) {
     aFlow.m_acknowledged = aPacket.m_acknowledged;
+    m_requestRepeated.add(aFlow.m_repeats > 0);
     aFlow.m_repeats = 0;
-    aFlow.m_isCounted = false;
     seen.m_isProgress = true;
     if (aFlow.m_requestAt != TimePoint{}) {
       const Millis time = aNow - aFlow.m_requestAt;
@@ -217,12 +219,12 @@
     return seen;
   }
   if (isKnown) {
-    // Callers repeat after 200 ms, which many answers take: only the time of waiting tells.
-    seen.m_isHopeless = aFlow.m_requestAt != TimePoint{} &&
-                        aNow - aFlow.m_requestAt >= aUpstream.m_service->m_responses.silence();
-    if (aFlow.m_repeats == 0) {
-      aUpstream.m_health.onRepeat(aNow);
-    }
+    // Callers repeat after 200 ms, which many answers take; later only the time of waiting tells.
+    const bool isHopeless = aFlow.m_requestAt != TimePoint{} &&
+                            aNow - aFlow.m_requestAt >= aUpstream.m_service->m_responses.silence();
+    const double surprise = m_requestRepeated.surprise();
+    // To wait for so long, a caller must have lost two packets in a row.
+    seen.m_evidence = isHopeless ? 2 * surprise : (aFlow.m_repeats == 0 ? surprise : 0);
     aFlow.m_repeats = static_cast<uint8_t>(std::min(aFlow.m_repeats + 1, 255));
     ++m_counters.m_repeats;
   }
@@ -264,12 +266,11 @@
   if (aSeen.m_isProgress && aUpstream.m_health.onProgress(aNow)) {
     record(aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
   }
-  if (aSeen.m_isHopeless && !aFlow.m_isCounted) {
-    aFlow.m_isCounted = true;
-    noteSilence(aNow, aPacket, aUpstream);
+  if (aSeen.m_evidence > 0) {
+    noteSilence(aNow, aPacket, aUpstream, aSeen.m_evidence);
   }
   const bool isDead = aPacket.m_length > 0 && aUpstream.m_health.isDead(aNow);
-  if ((aSeen.m_isHopeless || isDead) && mayRepeat(aPacket)) {
+  if (isDead && mayRepeat(aPacket)) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamSilent);
   }
   return forward(aUpstream);
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -3,6 +3,7 @@
 // is reset as soon as that helps its caller.
 #pragma once
 
+#include "steering/ChanceMeter.h"
 #include "steering/FlowEvents.h"
 #include "steering/FlowTable.h"
 #include "steering/Placement.h"
@@ -68,8 +69,8 @@
 private:
   struct Repetition
   {
-    /// The caller repeats a request that has waited for longer than any answer takes.
-    bool m_isHopeless{};
+    /// Of the upstream's silence, in nats; 0 when the packet is not repeated.
+    double m_evidence{};
     bool m_isProgress{};
   };
 
@@ -98,13 +99,19 @@
                 EventId aEvent,
                 const FlowState* aFlow = nullptr);
   void record(TimePoint aNow, const FlowPacket& aPacket, FlowEvent aEvent);
-  void noteSilence(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream);
+  void noteSilence(TimePoint aNow,
+                   const FlowPacket& aPacket,
+                   Upstream& aUpstream,
+                   double aSurprise);
   [[nodiscard]] bool isViewTrusted(TimePoint aNow) const;
   [[nodiscard]] bool mayRepeat(const FlowPacket& aPacket) const;
 
   Directory& m_directory;
   Placement& m_placement;
   FlowTable m_flows;
+  /// Flows whose opening packet is repeated, and requests that are.
+  ChanceMeter m_openedAgain;
+  ChanceMeter m_requestRepeated;
   View m_view;
   SteeringCounters m_counters;
   FlowEvents m_events;
