[edge] Open flows are served before the configuration is loaded

Cause: a start on a 10 Mbit/s link waits a quarter of a second for a configuration of many routes, though open flows need upstreams only. Change: pages are taken as they come, upstreams first; packets that need more wait in order until everything is loaded (1,024 at most).

--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -28,6 +28,8 @@
 inline constexpr Millis kLeastStop{ 1300 };
 /// The end must come before the forced one.
 inline constexpr Millis kStopMargin{ 700 };
+/// Packets that wait for the first load: what a host of the design size gets in half a second.
+inline constexpr size_t kMostDeferred = 1024;
 /// One packet in so many is timed.
 inline constexpr uint64_t kTimedShare = 64;
 
@@ -150,6 +152,7 @@
       reload();
     }
     m_host.tick(now);
+    startServing();
     m_follower->step(now);
     m_peerLink.step(now);
     writeLog(now);
@@ -184,10 +187,17 @@
     m_follower->step(now);
   }
 
-  /// Packets stay in the socket until the first records are there.
+  /// Packets stay in the socket until the first upstreams are known, and those that need more wait
+  /// until everything is loaded.
   void startServing()
   {
-    if (m_isServing || !m_host.isLoaded()) {
+    if (m_host.isLoaded() && !m_deferred.empty()) {
+      for (const std::vector<uint8_t>& datagram : std::exchange(m_deferred, {})) {
+        onPacket(datagram);
+      }
+      m_packets.flush();
+    }
+    if (m_isServing || (m_host.directory().upstreams().empty() && !m_host.isLoaded())) {
       return;
     }
     m_isServing = true;
@@ -212,6 +222,12 @@
       return;
     }
     const auto& packet = std::get<steering::FlowPacket>(parsed);
+    if (!m_host.canDecide(packet)) {
+      if (m_deferred.size() < kMostDeferred) {
+        m_deferred.emplace_back(aDatagram.begin(), aDatagram.end());
+      }
+      return;
+    }
     const bool isTimed = ++m_received % kTimedShare == 0;
     const auto start =
       isTimed ? std::chrono::steady_clock::now() : std::chrono::steady_clock::time_point{};
@@ -299,6 +315,8 @@
   TimePoint m_settingsReadAt{ readClock() };
   TimePoint m_stoppingAt;
   TimePoint m_lastPacketAt;
+  /// Packets that wait for the first load to end; at most kMostDeferred.
+  std::vector<std::vector<uint8_t>> m_deferred;
   uint64_t m_received{};
   bool m_isServing{};
 };
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -42,6 +42,12 @@
   refreshView(aNow);
 }
 
+void
+Host::onPage(TimePoint aNow, const registry::Reading& aPage)
+{
+  m_directory.apply(aNow, m_registry.merge(aPage, false));
+}
+
 void
 Host::onDifference(TimePoint aNow, const registry::Difference& aDifference)
 {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -47,6 +47,8 @@
                  const registry::Reading& aReading,
                  bool aIsDisturbed,
                  TimePoint aConfirmedAt);
+  /// Takes a page of the first answer in, so that open flows can be served.
+  void onPage(TimePoint aNow, const registry::Reading& aPage);
   void onDifference(TimePoint aNow, const registry::Difference& aDifference);
   dissemination::Reaction onStatus(TimePoint aNow, const dissemination::Status& aStatus);
   void tick(TimePoint aNow);
@@ -62,6 +64,11 @@
   /// The next status goes on from here.
   void onPushed();
 
+  /// Whether what the host knows is enough for a packet; it is for all once everything is loaded.
+  [[nodiscard]] bool canDecide(const steering::FlowPacket& aPacket) const
+  {
+    return isLoaded() || (!aPacket.m_opens && m_directory.findUpstream(aPacket.m_token) != nullptr);
+  }
   /// Whether the host knows routes and upstreams.
   [[nodiscard]] bool isLoaded() const { return m_registry.complete() > 0; }
   [[nodiscard]] bool isReader() const { return m_isReader; }
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -31,7 +31,8 @@
 template<typename Source>
 concept RecordSource = requires(Source& aSource, registry::Revision aRevision, ReadingHandler aDone)
 {
-  aSource.load(true, Millis{}, aDone);
+  aSource.load(
+    true, Millis{}, [](const registry::Reading&) {}, aDone);
   aSource.watch(aRevision, Millis{}, Millis{}, aDone);
   aSource.close();
 };
@@ -59,10 +60,10 @@
     if (!m_host.isLoaded()) {
       // Old records serve for the first packets; the next call brings them up to date.
       m_isOldAllowed = true;
-      m_source.load(true, kCallDeadline, handler());
+      m_source.load(true, kCallDeadline, pageHandler(), handler());
     } else if (m_needsEverything) {
       m_isOldAllowed = false;
-      m_source.load(false, kCallDeadline, handler());
+      m_source.load(false, kCallDeadline, pageHandler(), handler());
     } else {
       m_isWatch = true;
       m_source.watch(
@@ -87,6 +88,17 @@
   [[nodiscard]] bool isLost() const { return m_isLost; }
 
 private:
+  /// Pages of the first load serve open flows before everything is there.
+  std::function<void(const registry::Reading&)> pageHandler()
+  {
+    return [this, generation = m_generation + 1](const registry::Reading& aPage) {
+      if (generation == m_generation && !m_host.isLoaded()) {
+        m_host.onPage(m_clock(), aPage);
+        m_onAnswer();
+      }
+    };
+  }
+
   ReadingHandler handler()
   {
     return [this, generation = ++m_generation](absl::StatusOr<registry::Reading> aReading) {
@@ -105,9 +117,7 @@
     } else {
       onSuccess(aNow, wasWatch, *aReading);
     }
-    if (m_onAnswer) {
-      m_onAnswer();
-    }
+    m_onAnswer();
   }
 
   void onSuccess(TimePoint aNow, bool aWasWatch, const registry::Reading& aReading)
@@ -157,7 +167,7 @@
   Source& m_source;
   Host& m_host;
   std::function<TimePoint()> m_clock;
-  std::function<void()> m_onAnswer;
+  std::function<void()> m_onAnswer{ [] {} };
   bool m_isBusy{};
   bool m_isWatch{};
   bool m_isOldAllowed{};
