[steering] A first repeat of a request counts half

Change: requests of a busy upstream are slow together, so a first repeat counts half; chances of repeated opening packets and of requests are told apart.

--- a/lib/steering/ChanceMeter.h
+++ b/lib/steering/ChanceMeter.h
@@ -7,26 +7,27 @@
 
 namespace tamarack::steering {
 
-/// How fast the meter follows: sixteen packets show that a link has begun to lose them.
-inline constexpr double kChanceGain = 1.0 / 16;
-/// Chance that is assumed at the start and at least; one in fifty requests takes long enough to be
-/// repeated on a calm day.
-inline constexpr double kFirstChance = 0.05;
-inline constexpr double kLeastChance = 0.02;
+/// How fast the meter follows: some thirty packets show that a link has begun to lose them.
+inline constexpr double kChanceGain = 1.0 / 32;
 
 class ChanceMeter
 {
 public:
+  /// `aFirst`: what is assumed at the start; `aLeast`: what is assumed at least.
+  ChanceMeter(double aFirst, double aLeast)
+    : m_chance(aFirst)
+    , m_least(aLeast)
+  {
+  }
+
   void add(bool aHappened) { m_chance += ((aHappened ? 1.0 : 0.0) - m_chance) * kChanceGain; }
 
   /// The surprise of one more such event, in nats.
-  [[nodiscard]] double surprise() const
-  {
-    return -std::log(std::clamp(m_chance, kLeastChance, 1.0));
-  }
+  [[nodiscard]] double surprise() const { return -std::log(std::clamp(m_chance, m_least, 1.0)); }
 
 private:
-  double m_chance{ kFirstChance };
+  double m_chance;
+  double m_least;
 };
 
 } // namespace tamarack::steering
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -16,12 +16,12 @@
 /// Longest time of avoidance, after which one new flow tries the upstream again.
 inline constexpr Millis kLongestAvoidance{ 8000 };
 /// Evidence, in nats of surprise, from which on new flows avoid an upstream: one repeated opening
-/// packet where less than one in twelve is repeated.
-inline constexpr double kEvidenceOfSilence = 2.5;
-/// Evidence from which on an upstream counts as dead: by chance, once in 1,800 times.
-inline constexpr double kEvidenceOfDeath = 7.5;
+/// packet on a calm day, or two repeated requests.
+inline constexpr double kEvidenceOfSilence = 3.8;
+/// Evidence from which on an upstream counts as dead: by chance, once in 8,000 times.
+inline constexpr double kEvidenceOfDeath = 9.0;
 /// What the silence that another host saw adds: three of them are enough.
-inline constexpr double kEvidenceOfWitness = 2.5;
+inline constexpr double kEvidenceOfWitness = 3.0;
 /// Other hosts that are remembered as witnesses.
 inline constexpr size_t kMostWitnesses = 4;
 /// The signs must span this time, so that one lost batch of datagrams is not enough.
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -223,8 +223,9 @@
     const bool isHopeless = aFlow.m_requestAt != TimePoint{} &&
                             aNow - aFlow.m_requestAt >= aUpstream.m_service->m_responses.silence();
     const double surprise = m_requestRepeated.surprise();
-    // To wait for so long, a caller must have lost two packets in a row.
-    seen.m_evidence = isHopeless ? 2 * surprise : (aFlow.m_repeats == 0 ? surprise : 0);
+    // The requests of a busy upstream are slow together, so a first repeat counts half; to wait in
+    // vain, a caller must have lost two packets in a row.
+    seen.m_evidence = isHopeless ? 2 * surprise : (aFlow.m_repeats == 0 ? surprise / 2 : 0);
     aFlow.m_repeats = static_cast<uint8_t>(std::min(aFlow.m_repeats + 1, 255));
     ++m_counters.m_repeats;
   }
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -17,6 +17,13 @@
 /// After its first reading a host waits for entries that lapsed to come back before it calls a
 /// token that it has never seen gone.
 inline constexpr Millis kLearningTime{ 4000 };
+/// Chances of a repeated opening packet on a calm day: a datagram or its answer was lost.
+inline constexpr double kFirstChanceOfCopy = 0.01;
+inline constexpr double kLeastChanceOfCopy = 0.005;
+/// Chances of a repeated request on a calm day: one in fifty is worked on for over 200 ms.
+inline constexpr double kFirstChanceOfRepeat = 0.05;
+inline constexpr double kLeastChanceOfRepeat = 0.02;
+
 /// What the records that decisions rest on are worth.
 struct View
 {
@@ -110,8 +117,8 @@
   Placement& m_placement;
   FlowTable m_flows;
   /// Flows whose opening packet is repeated, and requests that are.
-  ChanceMeter m_openedAgain;
-  ChanceMeter m_requestRepeated;
+  ChanceMeter m_openedAgain{ kFirstChanceOfCopy, kLeastChanceOfCopy };
+  ChanceMeter m_requestRepeated{ kFirstChanceOfRepeat, kLeastChanceOfRepeat };
   View m_view;
   SteeringCounters m_counters;
   FlowEvents m_events;
