--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -33,7 +33,8 @@
 bool
 Peers::isLive(TimePoint aNow, const Peer& aPeer) const
 {
-  return aPeer.m_heardAt != TimePoint{} && aNow - aPeer.m_heardAt <= kSilenceOfPeer;
+  const Millis silence = aPeer.m_isReader ? kSilenceOfReader : kSilenceOfListener;
+  return aPeer.m_heardAt != TimePoint{} && aNow - aPeer.m_heardAt <= silence;
 }
 
 bool
@@ -250,14 +251,15 @@
 Peers::dueTargets(TimePoint aNow)
 {
   std::vector<HostId> targets;
-  const bool isDue = m_lastStatusAt == TimePoint{} || aNow - m_lastStatusAt >= kStatusInterval;
+  const bool serves = servesOthers(aNow);
+  const bool isSettled = serves || freshReaders(aNow) >= kReadersPerDataCentre;
+  const bool isStale = aNow - m_confirmedAt > kOwnReadingAge;
+  const Millis ownInterval = isSettled && !serves ? kListenerInterval : kStatusInterval;
+  const bool isDue = m_lastStatusAt == TimePoint{} || aNow - m_lastStatusAt >= ownInterval;
   if (!isDue && !m_isAnnouncementDue) {
     return targets;
   }
   m_lastStatusAt = aNow;
-  const bool serves = servesOthers(aNow);
-  const bool isSettled = serves || freshReaders(aNow) >= kReadersPerDataCentre;
-  const bool isStale = aNow - m_confirmedAt > kOwnReadingAge;
   std::vector<HostId> others;
   for (const auto& [host, peer] : m_peers) {
     const bool isNeighbour = peer.m_dataCentre == m_options.m_dataCentre;
@@ -346,8 +348,9 @@
     }
   }
   std::ranges::shuffle(heard, m_random);
-  std::ranges::stable_partition(
-    heard, [&](const KnownHost& aHost) { return aHost.m_dataCentre == aDataCentre; });
+  std::stable_partition(heard.begin(), heard.end(), [&](const KnownHost& aHost) {
+    return aHost.m_dataCentre == aDataCentre;
+  });
   heard.resize(std::min(heard.size(), kKnownPerStatus));
   aStatus.m_known = std::move(heard);
 }
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -19,10 +19,13 @@
 
 /// The loss of the only one is felt for less than the bounds allow: see kOwnReadingAge.
 inline constexpr size_t kReadersPerDataCentre = 1;
-/// Between two messages of a host to those that need them.
+/// Between two messages of a reader to its listeners, and of a listener to its reader, which only
+/// needs to know that it is there.
 inline constexpr Millis kStatusInterval{ 500 };
+inline constexpr Millis kListenerInterval{ 1000 };
 /// A host that was silent for this long is no longer counted on: two of its messages may be lost.
-inline constexpr Millis kSilenceOfPeer{ 1300 };
+inline constexpr Millis kSilenceOfReader{ 1300 };
+inline constexpr Millis kSilenceOfListener{ 2600 };
 /// A host that was silent for this long is forgotten.
 inline constexpr Millis kForgetPeer{ 15'000 };
 /// A reader whose records were confirmed this long ago does not count as one.
--- /dev/null
+++ b/lib/edge/EdgeTest.cpp
@@ -0,0 +1,249 @@
+// The decisions of one host around its slices: settings, when the store is called, and what is
+// served, told and logged. A fake store answers by hand.
+#include "edge/EdgeSettings.h"
+#include "edge/Reports.h"
+#include "edge/StoreFollower.h"
+#include "registry/RecordCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarack;
+using namespace tamarack::edge;
+
+namespace {
+
+using registry::Change;
+using registry::Reading;
+using registry::RecordKind;
+
+constexpr std::string_view kSettings = R"({
+  "host": "entry-1", "data_centre": "natal", "packets": "10.0.0.1:8172",
+  "readiness": "10.0.0.1:8167", "readiness_path": "/ready", "control": "10.0.0.1:8166",
+  "metrics": "10.0.0.1:9464", "peer_port": 7720, "store": "10.9.0.1:8169",
+  "seeds": ["10.0.0.1:8166", "10.0.0.2:8166"], "stop_limit_s": 6, "cold_factor": "1.5",
+  "cold_slack": "5", "cpu_share": "0.055" })";
+
+/// A store whose calls wait until the test answers them.
+struct FakeStore
+{
+  void load(bool aMayBeOld, Millis, std::function<void(const Reading&)>, ReadingHandler aDone)
+  {
+    m_calls.push_back(aMayBeOld ? "load-old" : "load");
+    m_done = std::move(aDone);
+  }
+  void watch(registry::Revision aAfter, Millis, Millis, ReadingHandler aDone)
+  {
+    m_calls.push_back("watch-" + std::to_string(aAfter));
+    m_done = std::move(aDone);
+  }
+  void close() { m_done = nullptr; }
+  void answer(absl::StatusOr<Reading> aReading)
+  {
+    const ReadingHandler done = std::exchange(m_done, nullptr);
+    REQUIRE(done);
+    done(std::move(aReading));
+  }
+
+  std::vector<std::string> m_calls;
+  ReadingHandler m_done;
+};
+
+Reading
+firstReading()
+{
+  Reading reading{ .m_revision = 10, .m_isSnapshot = true };
+  reading.m_changes.push_back({ { RecordKind::Upstream, "i-1" },
+                                3,
+                                registry::UpstreamRecord{ .m_service = "reports",
+                                                          .m_dataCentre = "natal",
+                                                          .m_address = Ipv4{ 0x0a800001 },
+                                                          .m_port = 80,
+                                                          .m_identity = 1,
+                                                          .m_slots = 4 } });
+  reading.m_configuration = std::vector<Change>{
+    { { RecordKind::Route, "r" },
+      9,
+      registry::RouteRecord{
+        Ipv4{ 0xc6120001 }, 443, registry::RequestKind::Idempotent, { { "reports", 1 } } } },
+    { { RecordKind::Configuration, "" }, 9, registry::ConfigurationRecord{ 4, Millis{ 15'000 } } }
+  };
+  return reading;
+}
+
+class Fixture
+{
+public:
+  void tick(Millis aTime)
+  {
+    m_now += aTime;
+    m_host.tick(m_now);
+    m_follower.step(m_now);
+  }
+
+  [[nodiscard]] bool hasLine(EventId aEvent)
+  {
+    for (Line& line : m_host.takeLines(m_now)) {
+      m_lines.push_back(std::move(line));
+    }
+    return std::ranges::any_of(m_lines,
+                               [aEvent](const Line& aLine) { return aLine.m_event == aEvent; });
+  }
+
+  steering::FlowPacket opening() const
+  {
+    return { .m_flow = { Ipv4{ 0x64400001 }, Ipv4{ 0xc6120001 }, 1000, 443 }, .m_opens = true };
+  }
+
+  TimePoint m_now{ Millis{ 70'000 } };
+  FakeStore m_store;
+  Host m_host{ { .m_peers = { .m_self = HostId{ 1 },
+                              .m_dataCentre = "natal",
+                              .m_capacity = 50,
+                              .m_incarnation = 1,
+                              .m_seeds = { HostId{ 1 } } },
+                 .m_coldLimits = {},
+                 .m_flowPlaces = 256,
+                 .m_seed = 1 } };
+  StoreFollower<FakeStore> m_follower{ m_store, m_host, [this] { return m_now; } };
+  std::vector<Line> m_lines;
+};
+
+} // namespace
+
+TEST_CASE("settings are read, and every fault is named")
+{
+  const auto settings = parseEdgeSettings(kSettings);
+  REQUIRE(settings.ok());
+  CHECK(settings->m_packets == Endpoint{ Ipv4{ 0x0a000001 }, 8172 });
+  CHECK(settings->m_seeds.size() == 2);
+  CHECK(settings->m_coldSlack == 5);
+
+  std::string bad(kSettings);
+  bad.replace(bad.find("10.0.0.1:8172"), 13, "10.0.0.1:none");
+  bad.replace(bad.find("\"0.055\""), 7, "\"fast\"");
+  const std::string message(parseEdgeSettings(bad).status().message());
+  CHECK(message.find("/packets") != std::string::npos);
+  CHECK(message.find("/cpu_share") != std::string::npos);
+  CHECK_FALSE(parseEdgeSettings("{").ok());
+}
+
+TEST_CASE("a host starts with old records, brings them up to date and goes on with watches")
+{
+  Fixture fixture;
+  fixture.tick(Millis{ 100 });
+  CHECK(fixture.m_store.m_calls == std::vector<std::string>{ "load-old" });
+  CHECK(fixture.m_host.decide(fixture.m_now, fixture.opening()).m_action == steering::Action::Drop);
+  fixture.m_store.answer(firstReading());
+  CHECK(fixture.m_host.decide(fixture.m_now, fixture.opening()).m_action ==
+        steering::Action::Forward);
+  // Old records confirm nothing.
+  CHECK(fixture.m_host.viewAge(fixture.m_now) == Millis{ -1 });
+  for (int step = 0; step < 12; ++step) {
+    fixture.tick(Millis{ 100 });
+  }
+  CHECK(fixture.m_store.m_calls.back() == "watch-10");
+  // The watch began 400 ms ago and ends by itself.
+  fixture.tick(kWatchWait - Millis{ 400 });
+  fixture.m_store.answer(Reading{ .m_revision = 10 });
+  CHECK(fixture.m_host.viewAge(fixture.m_now) == Millis{ 0 });
+  CHECK(fixture.hasLine(EventId::RecordsLoaded));
+  CHECK(fixture.hasLine(EventId::ReadingStarted));
+}
+
+TEST_CASE(
+  "a store that forgot its history is read anew, and one that fails is asked more and more rarely")
+{
+  Fixture fixture;
+  fixture.tick(Millis{ 100 });
+  fixture.m_store.answer(firstReading());
+  for (int step = 0; step < 12; ++step) {
+    fixture.tick(Millis{ 100 });
+  }
+  fixture.m_store.answer(absl::OutOfRangeError("forgotten"));
+  fixture.tick(Millis{ 0 });
+  CHECK(fixture.m_store.m_calls.back() == "load");
+  CHECK(fixture.hasLine(EventId::StoreHistoryLost));
+  Reading without = firstReading();
+  without.m_revision = 20;
+  without.m_changes.clear();
+  fixture.m_store.answer(std::move(without));
+  // The upstream may only have lapsed: it still gets flows for a while.
+  CHECK(fixture.hasLine(EventId::UpstreamLapsed));
+  CHECK(fixture.m_host.decide(fixture.m_now, fixture.opening()).m_action ==
+        steering::Action::Forward);
+
+  size_t calls = 0;
+  for (int step = 0; step < 100; ++step) {
+    fixture.tick(Millis{ 100 });
+    if (fixture.m_store.m_done) {
+      ++calls;
+      fixture.m_store.answer(absl::UnavailableError("down"));
+    }
+  }
+  CHECK(calls <= 10);
+  CHECK(calls >= 5);
+  CHECK(fixture.hasLine(EventId::StoreLost));
+  CHECK(fixture.hasLine(EventId::ViewStale));
+}
+
+TEST_CASE("an answer to a call that was given up changes nothing")
+{
+  Fixture fixture;
+  fixture.tick(Millis{ 100 });
+  const ReadingHandler late = fixture.m_store.m_done;
+  fixture.m_follower.restart(fixture.m_now);
+  late(firstReading());
+  CHECK_FALSE(fixture.m_host.isLoaded());
+  fixture.tick(Millis{ 100 });
+  CHECK(fixture.m_store.m_calls.size() == 2);
+}
+
+TEST_CASE("a host that cannot reach the store serves what another one tells it")
+{
+  Fixture reader;
+  reader.tick(Millis{ 100 });
+  reader.m_store.answer(firstReading());
+  Fixture cutOff;
+  cutOff.m_host.onDifference(cutOff.m_now, reader.m_host.registry().changesSince(0));
+  CHECK(cutOff.m_host.isLoaded());
+  CHECK(cutOff.m_host.decide(cutOff.m_now, cutOff.opening()).m_action == steering::Action::Forward);
+}
+
+TEST_CASE("lines about flows are bounded, and what is left out is said")
+{
+  Fixture fixture;
+  fixture.tick(Millis{ 100 });
+  fixture.m_store.answer(firstReading());
+  size_t lines = 0;
+  bool isSaid = false;
+  for (int second = 0; second < 10; ++second) {
+    for (uint16_t flow = 0; flow < 1000; ++flow) {
+      steering::FlowPacket packet = fixture.opening();
+      packet.m_flow.m_sourcePort = flow;
+      (void)fixture.m_host.decide(fixture.m_now, packet);
+    }
+    fixture.tick(Millis{ 1000 });
+    for (const Line& line : fixture.m_host.takeLines(fixture.m_now)) {
+      ++lines;
+      isSaid = isSaid || line.m_event == EventId::LinesOmitted;
+    }
+  }
+  CHECK(static_cast<double>(lines) <= kFlowLineBurst + 10 * kFlowLinesPerSecond + 20);
+  CHECK(isSaid);
+}
+
+TEST_CASE("metrics, dumps and explanations show what the host knows")
+{
+  Fixture fixture;
+  fixture.tick(Millis{ 100 });
+  fixture.m_store.answer(firstReading());
+  const ProcessCounters counters;
+  const logging::Latency none;
+  const ReportInputs inputs{ fixture.m_host, counters, none, none, fixture.m_now };
+  CHECK(writeMetrics(inputs).find("tamarack_upstreams 1") != std::string::npos);
+  CHECK(writeDump(inputs).find("\"presence\": \"registered\"") != std::string::npos);
+  const auto text = writeExplanation(inputs, "100.64.0.1:1000,198.18.0.1:443");
+  REQUIRE(text.ok());
+  CHECK(text->find("\"route\": \"r\"") != std::string::npos);
+  CHECK_FALSE(writeExplanation(inputs, "nonsense").ok());
+}
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -219,6 +219,13 @@
 {
   collectSightings();
   steering::FlowEvents& events = m_steering.events();
+  // First, for under a lasting load the other lines take all that is left.
+  const uint64_t omitted = m_omittedLines + events.lost();
+  if (omitted > m_reportedOmittedLines && m_flowLines.take(aNow)) {
+    aLines.push_back(
+      { EventId::LinesOmitted, "lines=" + std::to_string(omitted - m_reportedOmittedLines) });
+    m_reportedOmittedLines = omitted;
+  }
   for (const steering::FlowEvent& event : events.events()) {
     if (!m_flowLines.take(aNow)) {
       ++m_omittedLines;
@@ -228,12 +235,6 @@
   }
   events.clear();
   m_sightedEvents = 0;
-  const uint64_t omitted = m_omittedLines + events.lost();
-  if (omitted > m_reportedOmittedLines && m_flowLines.take(aNow)) {
-    aLines.push_back(
-      { EventId::LinesOmitted, "lines=" + std::to_string(omitted - m_reportedOmittedLines) });
-    m_reportedOmittedLines = omitted;
-  }
 }
 
 } // namespace tamarack::edge
--- a/lib/registry/Records.h
+++ b/lib/registry/Records.h
@@ -71,7 +71,7 @@
 struct ServiceRecord
 {
   Millis m_warmUp{};
-  /// New requests that a cold upstream bears in a second.
+  /// New requests that a cold upstream bears in a second; 0 when no limit is stated.
   double m_coldRequestsPerSecond{};
 
   friend bool operator==(const ServiceRecord&, const ServiceRecord&) = default;
--- a/lib/steering/Placement.cpp
+++ b/lib/steering/Placement.cpp
@@ -15,12 +15,25 @@
 /// A kept flow sends about one request a second, which takes an upstream a twentieth of one.
 constexpr double kFlowWeight = 0.05;
 
+/// A cold upstream without a stated limit is only slow: each request weighs twice, and an idle warm
+/// one is preferred to it.
+constexpr double kColdFactor = 2;
+constexpr double kColdHandicap = 0.25;
+
 double
 loadOf(const Upstream& aUpstream, TimePoint aNow)
 {
   const double load =
     aUpstream.m_requests.level(aNow) + kFlowWeight * aUpstream.m_flows.level(aNow);
-  return load / std::max<uint32_t>(1, aUpstream.m_record.m_slots);
+  const double perSlot = load / std::max<uint32_t>(1, aUpstream.m_record.m_slots);
+  return aUpstream.isCold(aNow) ? kColdHandicap + kColdFactor * perSlot : perSlot;
+}
+
+/// Whether an upstream may get only so many new flows that they have to be counted.
+bool
+isLimited(const Upstream& aUpstream, TimePoint aNow)
+{
+  return aUpstream.isCold(aNow) && aUpstream.m_service->m_record.m_coldRequestsPerSecond > 0;
 }
 
 } // namespace
@@ -97,7 +110,7 @@
   Draw remote;
   Draw avoided;
   for (Upstream* upstream : service->m_upstreams) {
-    if (!upstream->isOpen() || upstream->isCold(aNow)) {
+    if (!upstream->isOpen() || isLimited(*upstream, aNow)) {
       continue;
     }
     if (upstream->m_token == aRequest.m_avoid || upstream->m_health.isAvoided(aNow)) {
@@ -127,7 +140,7 @@
 Placement::chooseCold(TimePoint aNow, const Service& aService, Token aAvoid)
 {
   for (Upstream* upstream : aService.m_upstreams) {
-    if (upstream->isOpen() && upstream->isCold(aNow) && upstream->m_token != aAvoid &&
+    if (upstream->isOpen() && isLimited(*upstream, aNow) && upstream->m_token != aAvoid &&
         m_coldBudget.allows(aNow, *upstream, aService.m_record)) {
       m_coldBudget.onPlaced(aNow, *upstream);
       return upstream;
--- a/lib/steering/Placement.h
+++ b/lib/steering/Placement.h
@@ -2,7 +2,8 @@
 // save bytes between data centres; a data centre that loses part of its upstreams, where that part
 // of its flows goes elsewhere; all callers at once after an outage, by way of the first host that
 // is back, when the nearest upstreams alone would shed; crashed and slow upstreams, which callers'
-// repeated packets give away; a service that is all cold.
+// repeated packets give away; a service that is all cold, or of which one warm upstream is left,
+// which the load of all would break.
 #pragma once
 
 #include "steering/ColdBudget.h"
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -506,6 +506,33 @@
   CHECK(fixture.decide(fixture.request(1, token, 501)).m_action == Action::Forward);
 }
 
+TEST_CASE("one warm upstream among cold ones without a limit does not get everything")
+{
+  // All upstreams of a service but one crashed and came back.
+  Fixture fixture;
+  fixture.apply({ { RecordKind::Service, "reports" },
+                  ++fixture.m_revision,
+                  registry::ServiceRecord{ Millis{ 2000 }, 0 } });
+  fixture.addUpstream(Fixture::record(1));
+  for (uint64_t identity = 2; identity <= 5; ++identity) {
+    registry::UpstreamRecord record = Fixture::record(identity);
+    record.m_warmUpLeft = Millis{ 10'000 };
+    fixture.addUpstream(record);
+  }
+  std::map<uint64_t, int> placed;
+  for (uint16_t flow = 1; flow <= 300; ++flow) {
+    const Choice choice = fixture.decide(fixture.opening(flow));
+    REQUIRE(choice.m_action == Action::Forward);
+    ++placed[choice.m_identity];
+    fixture.wait(Millis{ 10 });
+  }
+  CHECK(placed[1] < 150);
+  for (uint64_t identity = 2; identity <= 5; ++identity) {
+    CHECK(placed[identity] < placed[1]);
+    CHECK(placed[identity] > 0);
+  }
+}
+
 TEST_CASE("a token names one start of one upstream")
 {
   const Token token = makeToken(1, 1000);
--- a/lib/transport/Http1.cpp
+++ b/lib/transport/Http1.cpp
@@ -148,8 +148,8 @@
           self->fail(aError.message());
           return;
         }
-        static const http_parser_settings settings = parserSettings<HttpClientConnection>();
-        http_parser_execute(&self->m_parser, &settings, self->m_input.data(), aCount);
+        static const http_parser_settings kSettings = parserSettings<HttpClientConnection>();
+        http_parser_execute(&self->m_parser, &kSettings, self->m_input.data(), aCount);
         if (HTTP_PARSER_ERRNO(&self->m_parser) != HPE_OK) {
           self->fail("the answer cannot be read");
           return;
@@ -239,8 +239,8 @@
         if (aError) {
           return;
         }
-        static const http_parser_settings settings = parserSettings<HttpServerConnection>();
-        http_parser_execute(&self->m_parser, &settings, self->m_input.data(), aCount);
+        static const http_parser_settings kSettings = parserSettings<HttpServerConnection>();
+        http_parser_execute(&self->m_parser, &kSettings, self->m_input.data(), aCount);
         if (HTTP_PARSER_ERRNO(&self->m_parser) == HPE_OK && self->m_socket.is_open()) {
           self->read();
         }
@@ -265,7 +265,7 @@
   int onComplete()
   {
     const std::string target = std::exchange(m_target, {});
-    const Response response = m_handler(std::string_view(target).substr(0, target.find('?')));
+    const Response response = m_handler(target);
     const bool isKept = http_should_keep_alive(&m_parser) != 0;
     auto text = std::make_shared<std::string>(
       "HTTP/1.1 " + std::to_string(response.m_status) + " " +
--- a/lib/transport/Http1.h
+++ b/lib/transport/Http1.h
@@ -40,10 +40,11 @@
 
 class HttpServerConnection;
 
-/// Answers GET requests by path.
+/// Answers GET requests.
 class HttpServer
 {
 public:
+  /// Called with the target of a request, with its query.
   using Handler = std::function<Response(std::string_view)>;
 
   HttpServer(asio::io_context& aIo, const asio::ip::tcp::endpoint& aEndpoint, Handler aHandler);
--- a/lib/transport/TransportTest.cpp
+++ b/lib/transport/TransportTest.cpp
@@ -2,6 +2,7 @@
 // each test ends when the awaited call has come.
 #include "transport/Datagrams.h"
 #include "transport/H2.h"
+#include "transport/Http1.h"
 
 #include <doctest/doctest.h>
 
@@ -133,3 +134,61 @@
   CHECK_THROWS((void)parseEndpoint("localhost:80"));
   CHECK_THROWS((void)parseEndpoint("127.0.0.1:80x"));
 }
+
+namespace {
+
+/// Runs until a call has its answer.
+Response
+getHttp(asio::io_context& aIo, HttpClient& aClient, const std::string& aTarget)
+{
+  Response answer{ .m_status = -1 };
+  aClient.get(aTarget, std::chrono::milliseconds(500), [&answer](const Response& aResponse) {
+    answer = aResponse;
+  });
+  while (answer.m_status == -1) {
+    aIo.run_one();
+  }
+  return answer;
+}
+
+} // namespace
+
+TEST_CASE("HTTP/1.1: answers, statuses and one connection for many requests")
+{
+  asio::io_context io;
+  std::vector<std::string> targets;
+  HttpServer server(
+    io, { asio::ip::address_v4::loopback(), 0 }, [&targets](std::string_view aTarget) {
+      targets.emplace_back(aTarget);
+      return Response{ .m_status = aTarget == "/down" ? 503 : 200,
+                       .m_body = std::string(20'000, 'b') };
+    });
+  HttpClient client(io, { asio::ip::address_v4::loopback(), server.port() });
+  CHECK(getHttp(io, client, "/a?x=1").m_body.size() == 20'000);
+  CHECK(getHttp(io, client, "/down").m_status == 503);
+  CHECK(targets == std::vector<std::string>{ "/a?x=1", "/down" });
+}
+
+TEST_CASE("HTTP/1.1: a server that is silent, broken or absent gives status 0 and a reason")
+{
+  asio::io_context io;
+  asio::ip::tcp::acceptor silent(io, { asio::ip::address_v4::loopback(), 0 });
+  HttpClient client(io, silent.local_endpoint());
+  const Response late = getHttp(io, client, "/");
+  CHECK(late.m_status == 0);
+  CHECK_FALSE(late.m_body.empty());
+
+  asio::ip::tcp::socket broken(io);
+  silent.async_accept([](const asio::error_code&, asio::ip::tcp::socket) {});
+  silent.async_accept([&broken](const asio::error_code&, asio::ip::tcp::socket aSocket) {
+    broken = std::move(aSocket);
+    asio::error_code ignored;
+    asio::write(broken, asio::buffer("nonsense\r\n\r\n", 12), ignored);
+  });
+  CHECK(getHttp(io, client, "/").m_status == 0);
+
+  const auto endpoint = silent.local_endpoint();
+  silent.close();
+  HttpClient refused(io, endpoint);
+  CHECK(getHttp(io, refused, "/").m_status == 0);
+}
