[steering] Requests that a dead upstream had acknowledged are given up at once

Change: when an upstream ends or counts as dead, its flows with a waiting request are reset: all of an ended one, those that may be repeated of a dead one.

--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -153,6 +153,10 @@
     }
     m_host.tick(now);
     startServing();
+    for (const steering::FlowPacket& lost : m_host.steering().giveUp(now)) {
+      carryOut({}, lost, { .m_action = steering::Action::Reset });
+    }
+    m_packets.flush();
     m_follower->step(now);
     m_peerLink.step(now);
     writeLog(now);
--- a/lib/edge/EdgeSettings.cpp
+++ b/lib/edge/EdgeSettings.cpp
@@ -17,8 +17,8 @@
 /// A planned stop takes at least the time in which the fabric takes a host out of rotation.
 constexpr settings::Range kStopSeconds{ 1, 600 };
 constexpr settings::Range kFlowPlaces{ 64, 1 << 20 };
-/// Four times the open flows of a host at the design size.
-constexpr uint64_t kDefaultFlowPlaces = 131'072;
+/// The open flows of a host at the design size are 28,000.
+constexpr uint64_t kDefaultFlowPlaces = 32'768;
 constexpr uint64_t kDefaultStopSeconds = 6;
 
 std::optional<Endpoint>
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -55,6 +55,8 @@
   LoadMeter m_requests{ kRequestFade };
   LoadMeter m_flows{ kFlowFade };
   bool m_isLocal{};
+  /// Callers that waited for its answers have been told that none will come.
+  bool m_isGivenUp{};
   /// Its data centre is taken out.
   bool m_isOut{};
   /// Another upstream with the same token came first; this one gets no flows.
--- a/lib/steering/FlowTable.h
+++ b/lib/steering/FlowTable.h
@@ -13,6 +13,7 @@
 {
   /// Hash of the flow; 0 marks a free place.
   uint64_t m_key{};
+  packet::FlowKey m_flow;
   TimePoint m_lastAt;
   /// When the request that waits for an answer was seen; the epoch when none waits.
   TimePoint m_requestAt;
@@ -35,6 +36,8 @@
   [[nodiscard]] FlowState* find(uint64_t aKey);
   /// Finds a flow or gives it a place, if need be that of the flow that was quiet for longest.
   FlowState& findOrAdd(TimePoint aNow, uint64_t aKey);
+  /// All places, free ones included.
+  [[nodiscard]] std::span<FlowState> all() { return { m_states.get(), m_sets * kWays }; }
 
 private:
   static constexpr size_t kWays = 4;
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -310,6 +310,29 @@
   CHECK(resets <= 2);
 }
 
+TEST_CASE("requests that a crashed upstream had acknowledged are given up, for nobody repeats them")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  fixture.decide(fixture.request(1, token));
+  fixture.decide(fixture.request(2, token, 101, 1, kUnsafePort));
+  fixture.decide(fixture.request(3, token));
+  fixture.acknowledge(3, token);
+  fixture.wait(Millis{ 100 });
+  CHECK(fixture.m_steering.giveUp(fixture.m_now).empty());
+  // Three other hosts see that it is silent.
+  for (const uint32_t host : { 6, 7, 8 }) {
+    fixture.upstream(token).m_health.onReportedSilence(fixture.m_now, HostId{ host });
+  }
+  fixture.wait(kSpanOfDead);
+  const auto resets = fixture.m_steering.giveUp(fixture.m_now);
+  REQUIRE(resets.size() == 1);
+  CHECK(resets[0].m_flow.m_sourcePort == 1);
+  CHECK(resets[0].m_acknowledged == 1);
+  CHECK(fixture.m_steering.giveUp(fixture.m_now).empty());
+}
+
 TEST_CASE("all callers come back through one host: the nearest upstreams are not overrun")
 {
   // After an outage, 300 callers open their flows within a second; four near upstreams hold 20
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -39,13 +39,47 @@
 }
 
 bool
-TokenSteering::mayRepeat(const FlowPacket& aPacket) const
+TokenSteering::mayRepeat(const packet::FlowKey& aFlow) const
 {
-  const Route* route =
-    m_directory.findRoute(aPacket.m_flow.m_destination, aPacket.m_flow.m_destinationPort);
+  const Route* route = m_directory.findRoute(aFlow.m_destination, aFlow.m_destinationPort);
   return route != nullptr && route->m_record.m_kind == registry::RequestKind::Idempotent;
 }
 
+std::vector<FlowPacket>
+TokenSteering::giveUp(TimePoint aNow)
+{
+  std::vector<FlowPacket> resets;
+  for (const auto& upstream : m_directory.upstreams()) {
+    const bool isLost = upstream->m_presence == Presence::Ended || upstream->m_health.isDead(aNow);
+    if (isLost && !upstream->m_isGivenUp) {
+      giveUpFlows(aNow, *upstream, resets);
+    }
+    upstream->m_isGivenUp = isLost;
+  }
+  return resets;
+}
+
+void
+TokenSteering::giveUpFlows(TimePoint aNow,
+                           const Upstream& aUpstream,
+                           std::vector<FlowPacket>& aResets)
+{
+  const bool isSure = aUpstream.m_presence == Presence::Ended;
+  for (FlowState& flow : m_flows.all()) {
+    if (flow.m_key == 0 || flow.m_token != aUpstream.m_token || !flow.m_isOpen ||
+        flow.m_requestAt == TimePoint{} || aNow - flow.m_requestAt > kLongestWait ||
+        !(isSure || mayRepeat(flow.m_flow))) {
+      continue;
+    }
+    const FlowPacket packet{ .m_flow = flow.m_flow,
+                             .m_acknowledged = flow.m_acknowledged,
+                             .m_token = flow.m_token };
+    (void)resetFlow(
+      aNow, packet, flow, isSure ? ErrorKind::UpstreamGone : ErrorKind::UpstreamSilent);
+    aResets.push_back(packet);
+  }
+}
+
 Choice
 TokenSteering::forward(const Upstream& aUpstream)
 {
@@ -187,6 +221,7 @@
     // A flow that another host opened, or the first packet after the handshake: a sign of life.
     seen.m_isProgress = aFlow.m_token == aPacket.m_token;
     m_openedAgain.add(false);
+    aFlow.m_flow = aPacket.m_flow;
     aFlow.m_token = aPacket.m_token;
     aFlow.m_isOpen = true;
     aFlow.m_sequenceEnd = aPacket.m_sequence;
@@ -271,7 +306,7 @@
     noteSilence(aNow, aPacket, aUpstream, aSeen.m_evidence);
   }
   const bool isDead = aPacket.m_length > 0 && aUpstream.m_health.isDead(aNow);
-  if (isDead && mayRepeat(aPacket)) {
+  if (isDead && mayRepeat(aPacket.m_flow)) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamSilent);
   }
   return forward(aUpstream);
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -17,6 +17,8 @@
 /// After its first reading a host waits for entries that lapsed to come back before it calls a
 /// token that it has never seen gone.
 inline constexpr Millis kLearningTime{ 4000 };
+/// Requests that are older than this are no longer waited for by anybody.
+inline constexpr Millis kLongestWait{ 6000 };
 /// Chances of a repeated opening packet on a calm day: a datagram or its answer was lost.
 inline constexpr double kFirstChanceOfCopy = 0.01;
 inline constexpr double kLeastChanceOfCopy = 0.005;
@@ -69,6 +71,9 @@
   void onResponse(ResponseObserver aObserver) { m_observer = std::move(aObserver); }
 
   [[nodiscard]] Choice decide(TimePoint aNow, const FlowPacket& aPacket);
+  /// Gives up requests that were sent to upstreams which have died since: an upstream that had
+  /// acknowledged a request leaves its caller nothing to repeat. Returns the flows to reset.
+  [[nodiscard]] std::vector<FlowPacket> giveUp(TimePoint aNow);
 
   [[nodiscard]] const SteeringCounters& counters() const { return m_counters; }
   [[nodiscard]] FlowEvents& events() { return m_events; }
@@ -99,6 +104,7 @@
                    Upstream& aUpstream);
   Choice forward(const Upstream& aUpstream);
   /// Resets an open flow, which the caller then gives up.
+  void giveUpFlows(TimePoint aNow, const Upstream& aUpstream, std::vector<FlowPacket>& aResets);
   Choice resetFlow(TimePoint aNow, const FlowPacket& aPacket, FlowState& aFlow, ErrorKind aKind);
   Choice refuse(TimePoint aNow,
                 const FlowPacket& aPacket,
@@ -111,7 +117,7 @@
                    Upstream& aUpstream,
                    double aSurprise);
   [[nodiscard]] bool isViewTrusted(TimePoint aNow) const;
-  [[nodiscard]] bool mayRepeat(const FlowPacket& aPacket) const;
+  [[nodiscard]] bool mayRepeat(const packet::FlowKey& aFlow) const;
 
   Directory& m_directory;
   Placement& m_placement;
