--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -245,5 +245,6 @@
   const auto text = writeExplanation(inputs, "100.64.0.1:1000,198.18.0.1:443");
   REQUIRE(text.ok());
   CHECK(text->find("\"route\": \"r\"") != std::string::npos);
+  CHECK(writeExplanation(inputs, "tcp,100.64.0.1:1000,198.18.0.1:443").ok());
   CHECK_FALSE(writeExplanation(inputs, "nonsense").ok());
 }
--- a/lib/edge/Reports.cpp
+++ b/lib/edge/Reports.cpp
@@ -131,6 +131,11 @@
 absl::StatusOr<std::string>
 writeExplanation(const ReportInputs& aInputs, std::string_view aFlow)
 {
+  // Operators may write the protocol first, as for a balancer that steers by bucket.
+  constexpr std::string_view kProtocol = "tcp,";
+  if (aFlow.starts_with(kProtocol)) {
+    aFlow.remove_prefix(kProtocol.size());
+  }
   const std::vector<std::string> parts = absl::StrSplit(std::string(aFlow), ',');
   const std::vector<std::string> destination =
     parts.size() < 2 ? std::vector<std::string>{} : absl::StrSplit(parts[1], ':');
--- /dev/null
+++ b/soak/Main.cpp
@@ -0,0 +1,341 @@
+// A randomized soak: real edge processes on loopback, with faults from outside them. A seed names
+// the faults and their times. Ends with status 1 when a promise is broken, and prints each one.
+#include "Proxy.h"
+#include "World.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <popt.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace {
+
+using namespace soak;
+
+/// Proxies stand beside the store.
+constexpr uint32_t kFirstProxy = 0x100;
+constexpr std::chrono::milliseconds kTick{ 20 };
+/// After the last fault, every caller must have been served again within this time.
+constexpr std::chrono::seconds kRecovery{ 12 };
+
+struct Options
+{
+  int m_seed{ 1 };
+  int m_seconds{ 20 };
+  int m_hosts{ 6 };
+  int m_callers{ 60 };
+  int m_lane{};
+  std::string m_program;
+  std::string m_logs;
+};
+
+std::string
+text(uint32_t aAddress, int aPort)
+{
+  return asio::ip::address_v4(aAddress).to_string() + ":" + std::to_string(aPort);
+}
+
+/// One edge process and what stands between it and the store.
+class Host
+{
+public:
+  Host(asio::io_context& aIo, const Options& aOptions, int aIndex)
+    : m_options(aOptions)
+    , m_index(aIndex)
+    , m_address(net(Net::Host) + 0x100 * (aIndex % 3) + 1 + aIndex / 3)
+    , m_proxy(aIo,
+              { asio::ip::address_v4(net(Net::Store) + kFirstProxy + aIndex), kStorePort },
+              { asio::ip::address_v4(net(Net::Store) + 1), kStorePort })
+  {
+    start();
+  }
+  ~Host() { end(SIGKILL); }
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  void start()
+  {
+    const std::string file = m_options.m_logs + "/host-" + std::to_string(m_index);
+    std::ofstream(file + ".json")
+      << "{\"host\":\"h" << m_index << "\",\"data_centre\":\"dc" << m_index % 3
+      << "\",\"packets\":\"" << text(m_address, kPacketPort) << "\",\"readiness\":\""
+      << text(m_address, 18167) << "\",\"readiness_path\":\"/ready\",\"control\":\""
+      << text(m_address, 18166) << "\",\"metrics\":\"" << text(m_address, 19464)
+      << "\",\"peer_port\":17720,\"store\":\""
+      << text(net(Net::Store) + kFirstProxy + m_index, kStorePort) << "\",\"seeds\":[\""
+      << text(net(Net::Host) + 1, 18166) << "\",\"" << text(net(Net::Host) + 0x101, 18166)
+      << "\"],\"cpu_share\":\"0.2\",\"cold_factor\":\"1.5\",\"cold_slack\":\"5\"}\n";
+    m_process = ::fork();
+    if (m_process == 0) {
+      const int log = ::open((file + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      ::dup2(log, STDOUT_FILENO);
+      ::dup2(log, STDERR_FILENO);
+      const std::string config = file + ".json";
+      ::execl(m_options.m_program.c_str(),
+              m_options.m_program.c_str(),
+              "--config",
+              config.c_str(),
+              static_cast<char*>(nullptr));
+      ::_exit(127);
+    }
+  }
+
+  /// Collects a process that ended. Returns whether it ended by itself with a failure.
+  bool collect()
+  {
+    int status = 0;
+    if (m_process <= 0 || ::waitpid(m_process, &status, WNOHANG) != m_process) {
+      return false;
+    }
+    m_process = -1;
+    return (WIFEXITED(status) && WEXITSTATUS(status) != 0) ||
+           (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL);
+  }
+
+  void signal(int aSignal) const
+  {
+    if (m_process > 0) {
+      ::kill(m_process, aSignal);
+    }
+  }
+
+  void end(int aSignal)
+  {
+    if (m_process > 0) {
+      signal(SIGCONT);
+      signal(aSignal);
+      ::waitpid(m_process, nullptr, 0);
+      m_process = -1;
+    }
+  }
+
+  [[nodiscard]] bool isRunning() const { return m_process > 0; }
+  [[nodiscard]] uint32_t address() const { return m_address; }
+  Proxy& proxy() { return m_proxy; }
+
+private:
+  [[nodiscard]] uint32_t net(Net aNet) const
+  {
+    return netOf(aNet, static_cast<uint32_t>(m_options.m_lane));
+  }
+
+  const Options& m_options;
+  int m_index;
+  uint32_t m_address;
+  Proxy m_proxy;
+  pid_t m_process{ -1 };
+};
+
+class Soak
+{
+public:
+  explicit Soak(const Options& aOptions)
+    : m_options(aOptions)
+    , m_world(m_io, static_cast<uint32_t>(aOptions.m_seed), static_cast<uint32_t>(aOptions.m_lane))
+    , m_timer(m_io)
+  {
+    for (int index = 0; index < 12; ++index) {
+      m_world.addUpstream(index % 2, "dc" + std::to_string(index % 3));
+    }
+    m_world.publishConfiguration();
+    for (int index = 0; index < aOptions.m_hosts; ++index) {
+      m_hosts.push_back(std::make_unique<Host>(m_io, m_options, index));
+      m_world.m_hosts.push_back(m_hosts.back()->address());
+    }
+    for (int index = 0; index < aOptions.m_callers; ++index) {
+      m_world.m_callers.push_back(std::make_unique<Caller>(
+        m_world, netOf(Net::Caller, m_world.m_lane) + 1 + static_cast<uint32_t>(index), index % 2));
+    }
+    m_world.m_lastFault = Clock::now();
+  }
+
+  int run()
+  {
+    m_end = Clock::now() + std::chrono::seconds(m_options.m_seconds);
+    tick();
+    m_io.run();
+    uint64_t served = 0;
+    for (const auto& caller : m_world.m_callers) {
+      served += caller->served();
+    }
+    for (const std::string& complaint : m_world.m_complaints) {
+      std::cout << "broken: " << complaint << "\n";
+    }
+    std::cout << "seed " << m_options.m_seed << ": " << served << " requests, " << m_faults
+              << " faults, " << m_world.m_complaints.size() << " broken promises\n";
+    return m_world.m_complaints.empty() ? 0 : 1;
+  }
+
+private:
+  void after(int aMilliseconds, std::function<void()> aDo)
+  {
+    auto timer = std::make_shared<asio::steady_timer>(m_io);
+    timer->expires_after(std::chrono::milliseconds(aMilliseconds));
+    timer->async_wait([this, timer, aDo](const asio::error_code& aError) {
+      if (!aError) {
+        m_world.m_lastFault = Clock::now();
+        aDo();
+      }
+    });
+  }
+
+  /// Injects one fault; its end is planned at once, so faults overlap.
+  void fault()
+  {
+    ++m_faults;
+    m_world.m_lastFault = Clock::now();
+    auto& random = m_world.m_random;
+    Host& host = *m_hosts[random() % m_hosts.size()];
+    const int length = 300 + static_cast<int>(random() % 4000);
+    const int service = static_cast<int>(random() % 2);
+    switch (random() % 9) {
+      case 0:
+        host.signal(SIGKILL);
+        return;
+      case 1:
+        host.signal(SIGTERM);
+        return;
+      case 2:
+        host.signal(SIGSTOP);
+        after(length, [&host] { host.signal(SIGCONT); });
+        return;
+      case 3:
+        host.signal(SIGHUP);
+        return;
+      case 4: {
+        const auto harm = static_cast<Harm>(1 + random() % 4);
+        const bool isForAll = random() % 3 == 0;
+        for (const auto& each : m_hosts) {
+          if (isForAll || each.get() == &host) {
+            each->proxy().harm(harm);
+            after(length, [&each = *each] { each.proxy().harm(Harm::None); });
+          }
+        }
+        return;
+      }
+      case 5:
+        m_world.m_store.forgetHistory();
+        return;
+      case 6:
+        m_world.publishConfiguration();
+        return;
+      case 7:
+        crashUpstream(service);
+        return;
+      default:
+        drainUpstream(service);
+        return;
+    }
+  }
+
+  void crashUpstream(int aService)
+  {
+    Upstream* upstream = m_world.living(aService) > 2 ? m_world.randomUpstream(aService) : nullptr;
+    if (upstream == nullptr) {
+      return;
+    }
+    upstream->crash();
+    after(3600, [this, upstream] { m_world.m_store.remove(upstream->key()); });
+    after(1500, [this, aService] { m_world.addUpstream(aService, "dc0"); });
+  }
+
+  void drainUpstream(int aService)
+  {
+    Upstream* upstream = m_world.living(aService) > 2 ? m_world.randomUpstream(aService) : nullptr;
+    if (upstream == nullptr) {
+      return;
+    }
+    m_world.addUpstream(aService, "dc1");
+    upstream->publish(true);
+    after(8000, [this, upstream] {
+      upstream->crash();
+      m_world.m_store.remove(upstream->key());
+    });
+  }
+
+  void tick()
+  {
+    const auto now = Clock::now();
+    for (size_t index = 0; index < m_hosts.size(); ++index) {
+      Host& host = *m_hosts[index];
+      if (host.collect()) {
+        m_world.complain("host " + std::to_string(index) + " ended by itself");
+      }
+      if (!host.isRunning() && now < m_end) {
+        m_world.m_lastFault = now;
+        host.start();
+      }
+    }
+    for (const auto& caller : m_world.m_callers) {
+      caller->tick();
+    }
+    const auto lastFault = m_end - kRecovery;
+    if (now < lastFault && now >= m_nextFault) {
+      m_nextFault = now + std::chrono::milliseconds(100 + m_world.m_random() % 1400);
+      fault();
+    }
+    if (now >= m_end) {
+      judgeRecovery(now);
+      m_hosts.clear();
+      m_io.stop();
+      return;
+    }
+    m_timer.expires_after(kTick);
+    m_timer.async_wait([this](const asio::error_code&) { tick(); });
+  }
+
+  void judgeRecovery(Clock::time_point aNow)
+  {
+    for (const auto& caller : m_world.m_callers) {
+      if (aNow - caller->lastServed() > kRecovery) {
+        m_world.complain("a caller was not served again after the last fault");
+      }
+    }
+  }
+
+  const Options& m_options;
+  asio::io_context m_io;
+  World m_world;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  asio::steady_timer m_timer;
+  Clock::time_point m_end{};
+  Clock::time_point m_nextFault{ Clock::now() + std::chrono::seconds(2) };
+  int m_faults{};
+};
+
+} // namespace
+
+int
+main(int aCount, const char** aWords)
+{
+  Options options;
+  char* program = nullptr;
+  char* logs = nullptr;
+  const poptOption table[] = {
+    { "seed", 's', POPT_ARG_INT, &options.m_seed, 0, "names the faults", "N" },
+    { "seconds", 't', POPT_ARG_INT, &options.m_seconds, 0, "length; faults end 12 s before", "N" },
+    { "hosts", 0, POPT_ARG_INT, &options.m_hosts, 0, "edge processes", "N" },
+    { "callers", 0, POPT_ARG_INT, &options.m_callers, 0, "callers", "N" },
+    { "lane", 0, POPT_ARG_INT, &options.m_lane, 0, "loopback networks, 0 to 19", "N" },
+    { "program", 'p', POPT_ARG_STRING, &program, 0, "the edge program", "FILE" },
+    { "logs", 'l', POPT_ARG_STRING, &logs, 0, "an existing folder for logs", "FOLDER" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+    poptGetContext("tamarack-soak", aCount, aWords, table, 0), &poptFreeContext);
+  if (poptGetNextOpt(context.get()) < -1 || program == nullptr || logs == nullptr ||
+      options.m_hosts < 1 || options.m_hosts > 200 || options.m_lane < 0 ||
+      options.m_lane >= static_cast<int>(kLanes) || !std::filesystem::is_directory(logs)) {
+    std::cerr << "tamarack-soak: --program FILE and --logs FOLDER are needed; 1 to 200 hosts\n";
+    return 2;
+  }
+  options.m_program = program;
+  options.m_logs = logs;
+  std::free(program);
+  std::free(logs);
+  return Soak(options).run();
+}
--- a/tools/tamarackctl/Main.cpp
+++ b/tools/tamarackctl/Main.cpp
@@ -1,4 +1,5 @@
 // The operators' command line: checks settings, and asks processes for their state.
+#include "edge/EdgeSettings.h"
 #include "operator/Dump.h"
 #include "program/Program.h"
 #include "settings/Acceptor.h"
@@ -15,6 +16,20 @@
 constexpr int kExitUsage = 2;
 constexpr std::chrono::milliseconds kDeadline{ 3000 };
 
+/// Prints every fault of the settings of an edge process.
+int
+checkEdgeSettings(std::string_view aText)
+{
+  const auto settings = edge::parseEdgeSettings(aText);
+  if (!settings.ok()) {
+    std::cout << settings.status().message() << "\n";
+    return kExitFailure;
+  }
+  std::cout << "no faults: host " << settings->m_host << " in " << settings->m_dataCentre << ", "
+            << settings->m_seeds.size() << " seeds\n";
+  return 0;
+}
+
 /// Prints every fault of a settings document with its JSON path.
 int
 checkSettings(const std::string& aFile)
@@ -24,6 +39,10 @@
     std::cerr << "tamarackctl: " << text.status().message() << "\n";
     return kExitUsage;
   }
+  if (const auto document = settings::parseDocument(*text);
+      document.ok() && document->contains("peer_port")) {
+    return checkEdgeSettings(*text);
+  }
   settings::Acceptor acceptor;
   const auto outcome = acceptor.offerDocument(1, *text);
   for (const settings::Fault& fault : outcome.m_faults) {
