--- a/lib/daemon/HostConfig.cpp
+++ b/lib/daemon/HostConfig.cpp
@@ -60,11 +60,7 @@
   if (faults.empty()) {
     return config;
   }
-  std::string message;
-  for (const Fault& fault : faults) {
-    message += (message.empty() ? "" : "; ") + fault.m_path + " " + fault.m_text;
-  }
-  return absl::InvalidArgumentError(message);
+  return absl::InvalidArgumentError(settings::joinFaults(faults));
 }
 
 absl::StatusOr<HostConfig>
--- a/lib/daemon/SettingsDaemon.cpp
+++ b/lib/daemon/SettingsDaemon.cpp
@@ -6,7 +6,6 @@
 #include "base/Clock.h"
 #include "logging/Log.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace tamarack::daemon {
@@ -16,18 +15,6 @@
 constexpr Millis kTick{ 50 };
 constexpr Millis kDeadline = settings::kWatchDeadline;
 
-uint64_t
-numberOf(const transport::Request& aRequest, const std::string& aName)
-{
-  const auto found = aRequest.m_query.find(aName);
-  uint64_t number = 0;
-  if (found != aRequest.m_query.end()) {
-    const std::string& text = found->second;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-  }
-  return number;
-}
-
 } // namespace
 
 SettingsDaemon::SettingsDaemon(asio::io_context& aIo, HostConfig aConfig)
@@ -178,7 +165,7 @@
     const auto host = aRequest.m_query.find("host");
     const auto address = host == aRequest.m_query.end() ? std::nullopt : parseIpv4(host->second);
     if (address) {
-      m_spreader.onNewerPeer(HostId{ address->m_value }, numberOf(aRequest, "revision"));
+      m_spreader.onNewerPeer(HostId{ address->m_value }, transport::numberOf(aRequest, "revision"));
     }
     aRespond({ .m_status = address ? 200 : 400 });
     return;
@@ -188,10 +175,10 @@
     return;
   }
   const TimePoint now = readClock();
-  m_watchers.push_back(
-    { .m_request = { numberOf(aRequest, "settings"), numberOf(aRequest, "hosts") },
-      .m_since = now,
-      .m_respond = aRespond });
+  m_watchers.push_back({ .m_request = { transport::numberOf(aRequest, "settings"),
+                                        transport::numberOf(aRequest, "hosts") },
+                         .m_since = now,
+                         .m_respond = aRespond });
   answerWatchers(now);
 }
 
--- a/lib/edge/EdgeSettings.cpp
+++ b/lib/edge/EdgeSettings.cpp
@@ -102,11 +102,7 @@
   if (faults.empty()) {
     return edge;
   }
-  std::string message;
-  for (const Fault& fault : faults) {
-    message += (message.empty() ? "" : "; ") + fault.m_path + " " + fault.m_text;
-  }
-  return absl::InvalidArgumentError(message);
+  return absl::InvalidArgumentError(settings::joinFaults(faults));
 }
 
 absl::StatusOr<EdgeSettings>
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -4,8 +4,6 @@
 #include "base/Clock.h"
 #include "registry/RecordCodec.h"
 
-#include <charconv>
-
 namespace tamarack::edge {
 
 namespace {
@@ -14,18 +12,6 @@
 /// takes a 10 Mbit/s link most of a second.
 constexpr Millis kPullDeadline{ 1200 };
 
-uint64_t
-numberOf(const transport::Request& aRequest, const std::string& aName)
-{
-  const auto found = aRequest.m_query.find(aName);
-  uint64_t number = 0;
-  if (found != aRequest.m_query.end()) {
-    const std::string& text = found->second;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-  }
-  return number;
-}
-
 } // namespace
 
 PeerLink::PeerLink(asio::io_context& aIo,
@@ -167,8 +153,8 @@
 PeerLink::onRequest(const transport::Request& aRequest)
 {
   if (aRequest.m_path == "/changes") {
-    const auto bytes =
-      registry::encodeDifference(m_host.registry().changesSince(numberOf(aRequest, "since")));
+    const auto bytes = registry::encodeDifference(
+      m_host.registry().changesSince(transport::numberOf(aRequest, "since")));
     return { .m_status = 200, .m_body = { bytes.begin(), bytes.end() } };
   }
   if (aRequest.m_path == "/dump") {
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -85,7 +85,6 @@
   /// Called after each answer.
   void onAnswer(std::function<void()> aHandler) { m_onAnswer = std::move(aHandler); }
   [[nodiscard]] uint64_t failures() const { return m_failures; }
-  [[nodiscard]] bool isLost() const { return m_isLost; }
 
 private:
   /// Pages of the first load serve open flows before everything is there.
--- a/lib/settings/FieldReader.cpp
+++ b/lib/settings/FieldReader.cpp
@@ -157,4 +157,14 @@
   return m_path + "/" + std::string(aName);
 }
 
+std::string
+joinFaults(std::span<const Fault> aFaults)
+{
+  std::string text;
+  for (const Fault& fault : aFaults) {
+    text += (text.empty() ? "" : "; ") + fault.m_path + " " + fault.m_text;
+  }
+  return text;
+}
+
 } // namespace tamarack::settings
--- a/lib/settings/FieldReader.h
+++ b/lib/settings/FieldReader.h
@@ -5,6 +5,7 @@
 #include "settings/Document.h"
 
 #include <set>
+#include <span>
 
 namespace tamarack::settings {
 
@@ -15,6 +16,10 @@
   uint64_t m_most{};
 };
 
+/// All faults in one text, each with its path.
+[[nodiscard]] std::string
+joinFaults(std::span<const Fault> aFaults);
+
 class FieldReader
 {
 public:
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -75,7 +75,6 @@
     return;
   }
   const auto& record = std::get<registry::ConfigurationRecord>(*aChange.m_record);
-  m_idleTimeout = record.m_idleTimeout;
   m_beliefs.push_back({ EventId::ConfigurationInForce,
                         "version=" + std::to_string(record.m_version) +
                           " revision=" + std::to_string(aChange.m_revision) });
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -109,7 +109,6 @@
   [[nodiscard]] const Route* findRoute(Ipv4 aAddress, uint16_t aPort) const;
   [[nodiscard]] Upstream* findUpstream(Token aToken) const;
   [[nodiscard]] Service* findService(const std::string& aName);
-  [[nodiscard]] Millis idleTimeout() const { return m_idleTimeout; }
   [[nodiscard]] size_t routes() const { return m_routes.size(); }
   [[nodiscard]] const std::vector<std::unique_ptr<Upstream>>& upstreams() const
   {
@@ -131,7 +130,6 @@
   void believe(EventId aEvent, const Upstream& aUpstream, std::string aExtra = {});
 
   std::string m_dataCentre;
-  Millis m_idleTimeout{};
   absl::flat_hash_map<uint64_t, Route> m_routes;
   /// Where a route of the configuration stands in m_routes, by its name.
   absl::flat_hash_map<std::string, uint64_t> m_routeKeys;
--- a/lib/transport/H2.cpp
+++ b/lib/transport/H2.cpp
@@ -8,6 +8,18 @@
 
 namespace tamarack::transport {
 
+uint64_t
+numberOf(const Request& aRequest, const std::string& aName)
+{
+  const auto found = aRequest.m_query.find(aName);
+  uint64_t number = 0;
+  if (found != aRequest.m_query.end()) {
+    const std::string& text = found->second;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  }
+  return number;
+}
+
 Server::Server(asio::io_context& aIo,
                const asio::ip::tcp::endpoint& aEndpoint,
                RequestHandler aRequests,
--- a/lib/transport/H2.h
+++ b/lib/transport/H2.h
@@ -29,6 +29,10 @@
   std::string m_body;
 };
 
+/// A number of the query; 0 when it is missing or not a number.
+[[nodiscard]] uint64_t
+numberOf(const Request& aRequest, const std::string& aName);
+
 struct Response
 {
   int m_status{ 200 };
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kTick{ 20 };
 /// After the last fault, every caller must have been served again within this time.
 constexpr std::chrono::seconds kRecovery{ 12 };
+/// When nothing harms anybody any more, an upstream of each service leaves.
+constexpr std::chrono::seconds kLastDrain{ 6 };
 
 struct Options
 {
@@ -171,13 +173,14 @@
   }
 
 private:
-  void after(int aMilliseconds, std::function<void()> aDo)
+  /// Does something later. What harms hosts, the store or a running upstream counts as a fault.
+  void after(int aMilliseconds, std::function<void()> aDo, bool aIsFault = true)
   {
     auto timer = std::make_shared<asio::steady_timer>(m_io);
     timer->expires_after(std::chrono::milliseconds(aMilliseconds));
-    timer->async_wait([this, timer, aDo](const asio::error_code& aError) {
+    timer->async_wait([this, timer, aDo, aIsFault](const asio::error_code& aError) {
       if (!aError) {
-        m_world.m_lastFault = Clock::now();
+        m_world.m_lastFault = aIsFault ? Clock::now() : m_world.m_lastFault;
         aDo();
       }
     });
@@ -243,6 +246,7 @@
     after(1500, [this, aService] { m_world.addUpstream(aService, "dc0"); });
   }
 
+  /// A planned change: the upstream leaves with its flows, another one takes its place.
   void drainUpstream(int aService)
   {
     Upstream* upstream = m_world.living(aService) > 2 ? m_world.randomUpstream(aService) : nullptr;
@@ -251,10 +255,13 @@
     }
     m_world.addUpstream(aService, "dc1");
     upstream->publish(true);
-    after(8000, [this, upstream] {
-      upstream->crash();
-      m_world.m_store.remove(upstream->key());
-    });
+    after(
+      8000,
+      [this, upstream] {
+        upstream->crash();
+        m_world.m_store.remove(upstream->key());
+      },
+      false);
   }
 
   void tick()
@@ -278,6 +285,11 @@
       m_nextFault = now + std::chrono::milliseconds(100 + m_world.m_random() % 1400);
       fault();
     }
+    if (!m_isDrained && now >= m_end - kLastDrain) {
+      m_isDrained = true;
+      drainUpstream(0);
+      drainUpstream(1);
+    }
     if (now >= m_end) {
       judgeRecovery(now);
       m_hosts.clear();
@@ -305,6 +317,7 @@
   Clock::time_point m_end{};
   Clock::time_point m_nextFault{ Clock::now() + std::chrono::seconds(2) };
   int m_faults{};
+  bool m_isDrained{};
 };
 
 } // namespace
--- a/soak/World.cpp
+++ b/soak/World.cpp
@@ -241,9 +241,9 @@
   }
   const auto now = Clock::now();
   if (packet->m_opens) {
-    const bool isLate = m_drainingSince != Clock::time_point{} &&
-                        now - m_drainingSince > kDrainBound &&
-                        now - m_world.m_lastFault > kInTouch + kDrainBound;
+    const bool isLate =
+      m_drainingSince != Clock::time_point{} && now - m_drainingSince > kDrainBound &&
+      m_drainingSince > m_world.m_lastFault && now - m_world.m_lastFault > kInTouch;
     if (isLate) {
       m_world.complain("a leaving upstream got a new flow after 3 s");
     }
