[steering] Copies of an opening packet that waited together go to one upstream

A paused host read several copies of an opening packet at once and sent each to another upstream; both answered, the caller echoed the token that came last, and its requests went to the wrong one. Change: copies within 150 ms of the one before go to the same upstream and are no sign of silence; the stand-in resets data that does not acknowledge its number.

--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -217,6 +217,21 @@
   CHECK_FALSE(fixture.upstream(dead).m_health.isAvoided(fixture.m_now));
 }
 
+TEST_CASE("copies of an opening packet that waited together go to one upstream")
+{
+  // Soak, seed 60: a host was paused for a second and then read three copies at once; two upstreams
+  // answered, and the caller's requests went to the one that did not hold its flow.
+  Fixture fixture;
+  for (uint64_t identity = 1; identity <= 5; ++identity) {
+    fixture.addUpstream(Fixture::record(identity));
+  }
+  const Token first = fixture.open(1);
+  fixture.wait(Millis{ 1 });
+  CHECK(fixture.decide(fixture.opening(1, kSafePort, 1)).m_token == first);
+  CHECK(fixture.decide(fixture.opening(1, kSafePort, 2)).m_token == first);
+  CHECK_FALSE(fixture.upstream(first).m_health.isSilent());
+}
+
 TEST_CASE("a request that waits in vain is reset only when it may be repeated")
 {
   Fixture fixture;
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -158,8 +158,10 @@
   if (known != nullptr && aPacket.m_copy > 0) {
     before = known->m_token;
     Upstream* const silent = m_directory.findUpstream(before);
-    if (silent != nullptr && known->m_isOpen) {
-      // The flow is open; a copy of its first packet was only late.
+    const bool waitedTogether = aNow - known->m_lastAt < kLeastCopyInterval;
+    if (silent != nullptr && (known->m_isOpen || waitedTogether)) {
+      // The flow is open or opening. A second upstream would answer, too, and the caller would
+      // follow the token that came last to one that does not hold its flow.
       return forward(*silent);
     }
     if (silent != nullptr) {
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -19,6 +19,9 @@
 inline constexpr Millis kLearningTime{ 4000 };
 /// Requests that are older than this are no longer waited for by anybody.
 inline constexpr Millis kLongestWait{ 6000 };
+/// Callers send copies of an opening packet 200 ms apart or more. Copies that come closer waited
+/// together, as in a host that was paused, and say nothing of the upstream.
+inline constexpr Millis kLeastCopyInterval{ 150 };
 /// Chances of a repeated opening packet on a calm day: a datagram or its answer was lost.
 inline constexpr double kFirstChanceOfCopy = 0.01;
 inline constexpr double kLeastChanceOfCopy = 0.005;
--- a/soak/World.cpp
+++ b/soak/World.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::seconds kInTouch{ 4 };
 /// A leaving upstream gets no new flows after this.
 constexpr std::chrono::seconds kDrainBound{ 3 };
+/// Bytes that an upstream sends on one flow at most; the numbers of two upstreams are further
+/// apart.
+constexpr uint32_t kMostAcknowledged = 4096;
 constexpr std::chrono::milliseconds kPause{ 250 };
 constexpr std::chrono::milliseconds kDeadline{ 4000 };
 
@@ -251,7 +254,9 @@
     reply(*packet, kOpens | kAcknowledges, 0);
     return;
   }
-  if (!m_flows.contains(packet->m_flow)) {
+  // The flow is open here only if its caller acknowledges this upstream's own sequence number.
+  const uint32_t acknowledged = packet->m_acknowledged - m_id;
+  if (!m_flows.contains(packet->m_flow) || acknowledged == 0 || acknowledged >= kMostAcknowledged) {
     reply(*packet, kResets, 0);
     return;
   }
