[edge] A changed or faulty settings file is told once

Cause: the periodic look compared the file with the settings in force. A changed listening address stays out of force until a restart, so the same change was applied and logged every 2 s; a faulty file was refused every 2 s. Change: SettingsFile remembers the text of its last reading and returns changes only. A reload by signal always reads and logs, as the log should hold each reload. Measured: the new test of edge_test holds; the old code had no seam for it, so the repeated lines were seen in its source only.

--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "base/Clock.h"
-#include "edge/EdgeSettings.h"
 #include "edge/PeerLink.h"
 #include "edge/Reports.h"
+#include "edge/SettingsFile.h"
 #include "edge/StoreFollower.h"
 #include "logging/Log.h"
 #include "transport/Datagrams.h"
@@ -51,7 +51,7 @@
 class EdgeDaemon
 {
 public:
-  EdgeDaemon(asio::io_context& aIo, EdgeSettings aSettings, std::string aFile)
+  EdgeDaemon(asio::io_context& aIo, EdgeSettings aSettings, SettingsFile aFile)
     : m_io(aIo)
     , m_settings(std::move(aSettings))
     , m_file(std::move(aFile))
@@ -81,22 +81,24 @@
     m_peerLink.announce(m_stoppingAt);
   }
 
-  /// Reads the settings file again. What concerns listening addresses needs a restart.
-  void reload()
+  /// Reads the settings file again, on request.
+  void reload() { apply(m_file.read()); }
+
+private:
+  using Follower = StoreFollower<Source>;
+
+  /// Takes over what can change in a running process; the rest needs a restart.
+  void apply(const absl::StatusOr<EdgeSettings>& aSettings)
   {
-    const auto settings = readEdgeSettings(m_file);
-    if (!settings.ok()) {
+    if (!aSettings.ok()) {
       m_host.note(EventId::SettingsRefused,
-                  "reason=\"" + std::string(settings.status().message()) + "\"");
-      return;
-    }
-    if (*settings == m_settings) {
+                  "reason=\"" + std::string(aSettings.status().message()) + "\"");
       return;
     }
-    const bool isStoreMoved = settings->m_store != m_settings.m_store;
-    m_settings.m_seeds = settings->m_seeds;
-    m_settings.m_store = settings->m_store;
-    m_settings.m_stopLimit = settings->m_stopLimit;
+    const bool isStoreMoved = aSettings->m_store != m_settings.m_store;
+    m_settings.m_seeds = aSettings->m_seeds;
+    m_settings.m_store = aSettings->m_store;
+    m_settings.m_stopLimit = aSettings->m_stopLimit;
     m_host.peers().setSeeds(m_settings.m_seeds);
     if (isStoreMoved) {
       m_follower.reset();
@@ -105,12 +107,9 @@
       m_follower->onAnswer([this] { onRecords(); });
     }
     m_host.note(EventId::SettingsReloaded,
-                std::string("needs_restart=") + (*settings == m_settings ? "no" : "yes"));
+                std::string("needs_restart=") + (*aSettings == m_settings ? "no" : "yes"));
   }
 
-private:
-  using Follower = StoreFollower<Source>;
-
   static asio::ip::tcp::endpoint tcpOf(const Endpoint& aEndpoint)
   {
     return { asio::ip::address_v4(aEndpoint.m_address.m_value), aEndpoint.m_port };
@@ -149,7 +148,9 @@
     m_lastTick = now;
     if (now - m_settingsReadAt >= kSettingsInterval) {
       m_settingsReadAt = now;
-      reload();
+      if (const auto changed = m_file.readIfChanged()) {
+        apply(*changed);
+      }
     }
     m_host.tick(now);
     startServing();
@@ -302,7 +303,7 @@
 
   asio::io_context& m_io;
   EdgeSettings m_settings;
-  std::string m_file;
+  SettingsFile m_file;
   ProcessCounters m_counters;
   Host m_host;
   std::unique_ptr<Source> m_source;
--- a/lib/edge/EdgeSettings.cpp
+++ b/lib/edge/EdgeSettings.cpp
@@ -1,7 +1,6 @@
 // Checked reading of the settings file.
 #include "edge/EdgeSettings.h"
 
-#include "program/Program.h"
 #include "settings/FieldReader.h"
 
 #include <charconv>
@@ -105,14 +104,4 @@
   return absl::InvalidArgumentError(settings::joinFaults(faults));
 }
 
-absl::StatusOr<EdgeSettings>
-readEdgeSettings(const std::string& aFile)
-{
-  const auto text = program::readFile(aFile);
-  if (!text.ok()) {
-    return text.status();
-  }
-  return parseEdgeSettings(*text);
-}
-
 } // namespace tamarack::edge
--- a/lib/edge/EdgeSettings.h
+++ b/lib/edge/EdgeSettings.h
@@ -50,8 +50,4 @@
 [[nodiscard]] absl::StatusOr<EdgeSettings>
 parseEdgeSettings(std::string_view aText);
 
-/// Reads a settings file.
-[[nodiscard]] absl::StatusOr<EdgeSettings>
-readEdgeSettings(const std::string& aFile);
-
 } // namespace tamarack::edge
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -1,11 +1,14 @@
 // The decisions of one host around its slices: settings, when the store is called, and what is
 // served, told and logged. A fake store answers by hand.
-#include "edge/EdgeSettings.h"
 #include "edge/Reports.h"
+#include "edge/SettingsFile.h"
 #include "edge/StoreFollower.h"
 #include "registry/RecordCodec.h"
 
 #include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
 
 using namespace tamarack;
 using namespace tamarack::edge;
@@ -127,6 +130,38 @@
   CHECK_FALSE(parseEdgeSettings("{").ok());
 }
 
+TEST_CASE("a change or a fault of the settings file is told once")
+{
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("tamarack-settings-" + std::to_string(::getpid()) + ".json");
+  const auto write = [&](std::string_view aText) { std::ofstream(path) << aText; };
+  write(kSettings);
+  SettingsFile file(path);
+  REQUIRE(file.read().ok());
+  CHECK_FALSE(file.readIfChanged());
+
+  std::string moved(kSettings);
+  moved.replace(moved.find("10.0.0.1:8172"), 13, "10.0.0.9:8172");
+  write(moved);
+  const auto changed = file.readIfChanged();
+  REQUIRE(changed);
+  CHECK((*changed)->m_packets.m_address == Ipv4{ 0x0a000009 });
+  // The listening address stays until a restart, so the file goes on to differ from what is in
+  // force.
+  CHECK_FALSE(file.readIfChanged());
+
+  write("{");
+  const auto refused = file.readIfChanged();
+  REQUIRE(refused);
+  CHECK_FALSE(refused->ok());
+  CHECK_FALSE(file.readIfChanged());
+  CHECK_FALSE(file.read().ok());
+
+  std::filesystem::remove(path);
+  CHECK(file.readIfChanged());
+  CHECK_FALSE(file.readIfChanged());
+}
+
 TEST_CASE("a host starts with old records, brings them up to date and goes on with watches")
 {
   Fixture fixture;
--- a/tools/tamarack-edge/Main.cpp
+++ b/tools/tamarack-edge/Main.cpp
@@ -14,11 +14,12 @@
     aCount,
     aWords,
     [](asio::io_context& aIo, const std::string& aFile) -> absl::StatusOr<program::Running> {
-      auto settings = edge::readEdgeSettings(aFile);
+      edge::SettingsFile file(aFile);
+      auto settings = file.read();
       if (!settings.ok()) {
         return settings.status();
       }
-      const auto daemon = std::make_shared<Daemon>(aIo, *std::move(settings), aFile);
+      const auto daemon = std::make_shared<Daemon>(aIo, *std::move(settings), std::move(file));
       return program::Running{ .m_daemon = daemon,
                                .m_stop = [daemon] { daemon->stop(); },
                                .m_reload = [daemon] { daemon->reload(); } };
