--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -71,6 +71,7 @@
       << text(net(Net::Store) + kFirstProxy + m_index, kStorePort) << "\",\"seeds\":[\""
       << text(net(Net::Host) + 1, 18166) << "\",\"" << text(net(Net::Host) + 0x101, 18166)
       << "\"],\"cpu_share\":\"0.2\",\"cold_factor\":\"1.5\",\"cold_slack\":\"5\"}\n";
+    m_startedAt = Clock::now();
     m_process = ::fork();
     if (m_process == 0) {
       const int log = ::open((file + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -86,16 +87,24 @@
     }
   }
 
-  /// Collects a process that ended. Returns whether it ended by itself with a failure.
-  bool collect()
+  /// Collects a process that ended. Returns how it failed, or nothing where it was told to end.
+  std::string collect()
   {
     int status = 0;
     if (m_process <= 0 || ::waitpid(m_process, &status, WNOHANG) != m_process) {
-      return false;
+      return {};
     }
     m_process = -1;
-    return (WIFEXITED(status) && WEXITSTATUS(status) != 0) ||
-           (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL);
+    const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count();
+    const std::string after = " after " + std::to_string(age) + " ms";
+    if (WIFEXITED(status) && WEXITSTATUS(status) != 0) {
+      return "status " + std::to_string(WEXITSTATUS(status)) + after;
+    }
+    if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
+      return "signal " + std::to_string(WTERMSIG(status)) + after;
+    }
+    return {};
   }
 
   void signal(int aSignal) const
@@ -130,6 +139,7 @@
   uint32_t m_address;
   Proxy m_proxy;
   pid_t m_process{ -1 };
+  Clock::time_point m_startedAt{};
 };
 
 class Soak
@@ -269,8 +279,8 @@
     const auto now = Clock::now();
     for (size_t index = 0; index < m_hosts.size(); ++index) {
       Host& host = *m_hosts[index];
-      if (host.collect()) {
-        m_world.complain("host " + std::to_string(index) + " ended by itself");
+      if (const std::string failure = host.collect(); !failure.empty()) {
+        m_world.complain("host " + std::to_string(index) + " ended by itself: " + failure);
       }
       if (!host.isRunning() && now < m_end) {
         m_world.m_lastFault = now;
