[steering] Cold limits hold for the sum of all data centres

Cause: each data centre elects a reader, and each reader counted itself as the only user of every cold upstream: three or four data centres sent 1.35 to 1.8 times the limit. A host cut off from its data centre, or any host while the store was away, read for itself and took another share. Change: only the reader of an upstream's own data centre uses its limit, and only while its records are confirmed and it hears at least half of the hosts it knows there, so that at most two parts do (share 0.45 each). Times of upstreams that got nothing for a second are dropped; before, one entry stayed for each cold upstream ever seen. Price: a data centre without hosts keeps its limited upstreams idle while they are cold.

--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -104,6 +104,34 @@
     }));
 }
 
+bool
+Peers::isSoleReader(TimePoint aNow) const
+{
+  return servesOthers(aNow) && betterReaders(aNow) == 0 && hearsHalf(aNow);
+}
+
+bool
+Peers::hearsHalf(TimePoint aNow) const
+{
+  // Hosts that said they leave do not count; hosts that were heard until lately may be cut off.
+  size_t known = 1;
+  size_t heard = 1;
+  for (const auto& [host, peer] : m_peers) {
+    if (peer.m_dataCentre != m_options.m_dataCentre || peer.m_heardAt == TimePoint{} ||
+        peer.m_isLeaving) {
+      continue;
+    }
+    ++known;
+    heard += isLive(aNow, peer) ? 1 : 0;
+  }
+  if (known == 1) {
+    // A host that never heard another one cannot tell a cut from an empty data centre.
+    return std::ranges::all_of(m_options.m_seeds,
+                               [this](HostId aSeed) { return aSeed == m_options.m_self; });
+  }
+  return 2 * heard >= known;
+}
+
 size_t
 Peers::freshReaders(TimePoint aNow) const
 {
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -93,6 +93,9 @@
 
   /// Decides whether this host reads the store now. Call it at each tick.
   [[nodiscard]] bool updateReading(TimePoint aNow);
+  /// Whether this host may use what only one host of its data centre may use at a time. At most two
+  /// hosts do, where the data centre is cut into halves.
+  [[nodiscard]] bool isSoleReader(TimePoint aNow) const;
   /// Whether this host calls the store; others may count on it only while the store answers.
   [[nodiscard]] bool isReader() const { return m_isReader; }
   [[nodiscard]] bool servesOthers(TimePoint aNow) const
@@ -146,6 +149,8 @@
   [[nodiscard]] bool isLive(TimePoint aNow, const Peer& aPeer) const;
   /// Readers that are preferred to this host.
   [[nodiscard]] size_t betterReaders(TimePoint aNow) const;
+  /// Whether this host hears at least half of the hosts of its data centre, itself among them.
+  [[nodiscard]] bool hearsHalf(TimePoint aNow) const;
   [[nodiscard]] bool isFreshReader(TimePoint aNow, const Peer& aPeer) const;
   /// Whether a peer is preferred to this host as a reader.
   [[nodiscard]] bool isBetter(HostId aHost, const Peer& aPeer) const;
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -162,6 +162,117 @@
   CHECK_FALSE(file.readIfChanged());
 }
 
+namespace {
+
+/// A host with peers of its own, that has read a service of which all upstreams are cold.
+std::unique_ptr<Host>
+hostBesideCold(uint32_t aSelf, const std::string& aDataCentre, TimePoint aNow)
+{
+  auto host = std::make_unique<Host>(HostOptions{ .m_peers = { .m_self = HostId{ aSelf },
+                                                               .m_dataCentre = aDataCentre,
+                                                               .m_capacity = 50,
+                                                               .m_incarnation = 1,
+                                                               .m_seeds = { HostId{ 1 } } },
+                                                  .m_coldLimits = {},
+                                                  .m_flowPlaces = 256,
+                                                  .m_seed = aSelf });
+  Reading reading = firstReading();
+  std::get<registry::UpstreamRecord>(*reading.m_changes[0].m_record).m_warmUpLeft =
+    Millis{ 60'000 };
+  reading.m_configuration->push_back({ { RecordKind::Service, "reports" },
+                                       9,
+                                       registry::ServiceRecord{ .m_coldRequestsPerSecond = 20 } });
+  host->onReading(aNow, reading, false, aNow);
+  return host;
+}
+
+/// Opens flows for a second and returns how many were forwarded.
+int
+openFlows(Host& aHost, TimePoint aNow)
+{
+  int forwarded = 0;
+  for (uint16_t port = 1; port <= 200; ++port) {
+    steering::FlowPacket packet{ .m_flow = { Ipv4{ 0x64400001 }, Ipv4{ 0xc6120001 }, port, 443 },
+                                 .m_opens = true };
+    const auto choice = aHost.decide(aNow + Millis{ port * 4 }, packet);
+    forwarded += choice.m_action == steering::Action::Forward ? 1 : 0;
+  }
+  return forwarded;
+}
+
+/// Makes a host read the store by itself: it waits longer than an election takes, and the store
+/// answers then.
+void
+electItself(Host& aHost, TimePoint& aNow)
+{
+  for (int step = 0; step < 40 && !aHost.isReader(); ++step) {
+    aNow += Millis{ 100 };
+    aHost.tick(aNow);
+  }
+  REQUIRE(aHost.isReader());
+  aHost.peers().onOwnConfirmation(aNow);
+  aHost.tick(aNow);
+}
+
+dissemination::Status
+statusOf(uint32_t aHost, const std::string& aDataCentre)
+{
+  return { .m_sender = HostId{ aHost }, .m_dataCentre = aDataCentre, .m_incarnation = 1 };
+}
+
+} // namespace
+
+TEST_CASE("the hosts of all data centres together keep the limit of a cold upstream")
+{
+  TimePoint now{ Millis{ 70'000 } };
+  int forwarded = 0;
+  for (const std::string dataCentre : { "natal", "ceara", "bahia", "recife" }) {
+    TimePoint time = now;
+    const auto host =
+      hostBesideCold(static_cast<uint32_t>(dataCentre.size()) + 10, dataCentre, now);
+    host->onStatus(time, statusOf(90, dataCentre));
+    electItself(*host, time);
+    host->onStatus(time, statusOf(90, dataCentre));
+    host->tick(time);
+    forwarded += openFlows(*host, time);
+  }
+  CHECK(forwarded > 0);
+  CHECK(forwarded <= 20);
+}
+
+TEST_CASE("hosts that are cut off from most others of their data centre leave cold upstreams alone")
+{
+  TimePoint now{ Millis{ 70'000 } };
+  const auto host = hostBesideCold(10, "natal", now);
+  for (const uint32_t other : { 90U, 91U, 92U }) {
+    host->onStatus(now, statusOf(other, "natal"));
+  }
+  now += Millis{ 3000 };
+  electItself(*host, now);
+  CHECK(openFlows(*host, now) == 0);
+
+  // It hears one of the three again: half of the hosts, of which there are two at most.
+  now += Millis{ 2000 };
+  host->onStatus(now, statusOf(90, "natal"));
+  host->peers().onOwnConfirmation(now);
+  host->tick(now);
+  CHECK(openFlows(*host, now) > 0);
+
+  // While the store is away, each host tries to read it, and none of them is the one that may.
+  now += Millis{ 2500 };
+  host->onStatus(now, statusOf(90, "natal"));
+  host->tick(now);
+  CHECK(openFlows(*host, now) == 0);
+}
+
+TEST_CASE("a host that heard nobody since its start leaves cold upstreams alone")
+{
+  TimePoint now{ Millis{ 70'000 } };
+  const auto host = hostBesideCold(10, "natal", now);
+  electItself(*host, now);
+  CHECK(openFlows(*host, now) == 0);
+}
+
 TEST_CASE("a host starts with old records, brings them up to date and goes on with watches")
 {
   Fixture fixture;
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -16,7 +16,7 @@
 
 Host::Host(HostOptions aOptions)
   : m_directory(aOptions.m_peers.m_dataCentre)
-  , m_coldBudget(aOptions.m_peers.m_self, aOptions.m_coldLimits)
+  , m_coldBudget(aOptions.m_coldLimits)
   , m_placement(m_directory, m_coldBudget, aOptions.m_seed)
   , m_steering(m_directory, m_placement, aOptions.m_flowPlaces)
   , m_self(aOptions.m_peers.m_self)
@@ -152,8 +152,7 @@
            " hosts=" + std::to_string(m_peers.size()) +
            " view_age_ms=" + std::to_string(viewAge(aNow).count()));
   }
-  const auto readers = m_peers.readers(aNow);
-  m_coldBudget.setReaders(m_isReader, readers);
+  m_coldBudget.setOwner(aNow, m_peers.isSoleReader(aNow));
   refreshView(aNow);
   collectSightings();
 }
--- a/lib/steering/ColdBudget.cpp
+++ b/lib/steering/ColdBudget.cpp
@@ -1,8 +1,6 @@
 // A sliding window of one second for each cold upstream.
 #include "steering/ColdBudget.h"
 
-#include "base/Hash.h"
-
 namespace tamarack::steering {
 
 namespace {
@@ -13,18 +11,12 @@
 } // namespace
 
 void
-ColdBudget::setReaders(bool aIsReader, std::span<const HostId> aOthers)
-{
-  m_readers.assign(aOthers.begin(), aOthers.end());
-  if (aIsReader) {
-    m_readers.push_back(m_self);
-  }
-}
-
-bool
-ColdBudget::isMine(const Upstream& aUpstream) const
+ColdBudget::setOwner(TimePoint aNow, bool aIsOwner)
 {
-  return !m_readers.empty() && pickByRendezvous(aUpstream.m_token.m_value, m_readers) == m_self;
+  m_isOwner = aIsOwner;
+  absl::erase_if(m_placed, [aNow](const auto& aEntry) {
+    return aEntry.second.empty() || aNow - aEntry.second.back() >= kWindow;
+  });
 }
 
 bool
@@ -32,7 +24,7 @@
                    const Upstream& aUpstream,
                    const registry::ServiceRecord& aService)
 {
-  if (!isMine(aUpstream)) {
+  if (!m_isOwner || !aUpstream.m_isLocal) {
     return false;
   }
   auto& placed = m_placed[aUpstream.m_token.m_value];
--- a/lib/steering/ColdBudget.h
+++ b/lib/steering/ColdBudget.h
@@ -1,17 +1,17 @@
 // Limits new flows to upstreams in a cold start. It answers a service whose upstreams all start at
 // once: a limit that holds for the sum over all hosts cannot be divided among eighty of them, so
-// one reader of the store may use a cold upstream, and other hosts leave it alone.
+// one host of the upstream's own data centre may use it, and all others leave it alone. No cut
+// between data centres adds a user.
 #pragma once
 
 #include "steering/Directory.h"
 
 #include <deque>
-#include <span>
 
 namespace tamarack::steering {
 
-/// Share of the limit that the one host uses. Hosts that disagree for a moment on who it is, as
-/// after a restart, stay within the limit as long as there are two of them.
+/// Share of the limit that the one host uses. Two halves of a data centre that is cut, and hosts
+/// that disagree for a moment on who it is, stay within the limit as long as there are two of them.
 inline constexpr double kColdShare = 0.45;
 
 struct ColdLimits
@@ -24,14 +24,14 @@
 class ColdBudget
 {
 public:
-  ColdBudget(HostId aSelf, ColdLimits aLimits)
-    : m_self(aSelf)
-    , m_limits(aLimits)
+  explicit ColdBudget(ColdLimits aLimits)
+    : m_limits(aLimits)
   {
   }
 
-  /// Whether this host reads the store, and the other hosts that do.
-  void setReaders(bool aIsReader, std::span<const HostId> aOthers);
+  /// Whether this host is the one of its data centre that may use cold upstreams. Forgets upstreams
+  /// that got nothing lately.
+  void setOwner(TimePoint aNow, bool aIsOwner);
 
   /// Whether one more flow may go to a cold upstream now.
   [[nodiscard]] bool allows(TimePoint aNow,
@@ -40,12 +40,8 @@
   void onPlaced(TimePoint aNow, const Upstream& aUpstream);
 
 private:
-  [[nodiscard]] bool isMine(const Upstream& aUpstream) const;
-
-  HostId m_self;
   ColdLimits m_limits;
-  /// With this host if it is one; the hosts that share the limits.
-  std::vector<HostId> m_readers;
+  bool m_isOwner{};
   /// Times of flows within the last second, by token.
   absl::flat_hash_map<uint32_t, std::deque<TimePoint>> m_placed;
 };
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -131,7 +131,7 @@
   TimePoint m_now{ kStart };
   registry::Revision m_revision{};
   Directory m_directory{ "near" };
-  ColdBudget m_coldBudget{ kSelf, { .m_factor = 1.5, .m_slack = 5 } };
+  ColdBudget m_coldBudget{ { .m_factor = 1.5, .m_slack = 5 } };
   Placement m_placement{ m_directory, m_coldBudget, 7 };
   TokenSteering m_steering{ m_directory, m_placement, 1024 };
 };
@@ -511,7 +511,7 @@
   record.m_warmUpLeft = Millis{ 10'000 };
   fixture.addUpstream(record);
   CHECK(fixture.decide(fixture.opening(1)).m_action == Action::Reset);
-  fixture.m_coldBudget.setReaders(true, {});
+  fixture.m_coldBudget.setOwner(fixture.m_now, true);
   int placed = 0;
   for (uint16_t flow = 2; flow < 200; ++flow) {
     placed += fixture.decide(fixture.opening(flow)).m_action == Action::Forward ? 1 : 0;
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -21,6 +21,11 @@
 constexpr std::chrono::milliseconds kTick{ 20 };
 /// After the last fault, every caller must have been served again within this time.
 constexpr std::chrono::seconds kRecovery{ 12 };
+/// Upstreams that start during a run are cold for this long.
+constexpr std::chrono::milliseconds kColdStart{ 2000 };
+/// Kinds of faults. Seeds below kFirstSeedWithAllKinds were recorded when there was one kind less.
+constexpr int kKinds = 10;
+constexpr int kFirstSeedWithAllKinds = 1000;
 /// When nothing harms anybody any more, an upstream of each service leaves.
 constexpr std::chrono::seconds kLastDrain{ 6 };
 
@@ -62,15 +67,18 @@
   void start()
   {
     const std::string file = m_options.m_logs + "/host-" + std::to_string(m_index);
-    std::ofstream(file + ".json")
-      << "{\"host\":\"h" << m_index << "\",\"data_centre\":\"dc" << m_index % 3
-      << "\",\"packets\":\"" << text(m_address, kPacketPort) << "\",\"readiness\":\""
-      << text(m_address, 18167) << "\",\"readiness_path\":\"/ready\",\"control\":\""
-      << text(m_address, 18166) << "\",\"metrics\":\"" << text(m_address, 19464)
-      << "\",\"peer_port\":17720,\"store\":\""
-      << text(net(Net::Store) + kFirstProxy + m_index, kStorePort) << "\",\"seeds\":[\""
-      << text(net(Net::Host) + 1, 18166) << "\",\"" << text(net(Net::Host) + 0x101, 18166)
-      << "\"],\"cpu_share\":\"0.2\",\"cold_factor\":\"1.5\",\"cold_slack\":\"5\"}\n";
+    std::ofstream(file + ".json") << "{\"host\":\"h" << m_index << "\",\"data_centre\":\"dc"
+                                  << m_index % 3 << "\",\"packets\":\""
+                                  << text(m_address, kPacketPort) << "\",\"readiness\":\""
+                                  << text(m_address, 18167)
+                                  << "\",\"readiness_path\":\"/ready\",\"control\":\""
+                                  << text(m_address, 18166) << "\",\"metrics\":\""
+                                  << text(m_address, 19464) << "\",\"peer_port\":17720,\"store\":\""
+                                  << text(net(Net::Store) + kFirstProxy + m_index, kStorePort)
+                                  << "\",\"seeds\":[\"" << text(net(Net::Host) + 1, 18166)
+                                  << "\",\"" << text(net(Net::Host) + 0x101, 18166)
+                                  << "\"],\"cpu_share\":\"0.2\",\"cold_factor\":\"" << kColdFactor
+                                  << "\",\"cold_slack\":\"" << kColdSlack << "\"}\n";
     m_startedAt = Clock::now();
     m_process = ::fork();
     if (m_process == 0) {
@@ -205,7 +213,7 @@
     Host& host = *m_hosts[random() % m_hosts.size()];
     const int length = 300 + static_cast<int>(random() % 4000);
     const int service = static_cast<int>(random() % 2);
-    switch (random() % 9) {
+    switch (random() % (kKinds - (m_options.m_seed < kFirstSeedWithAllKinds ? 1 : 0))) {
       case 0:
         host.signal(SIGKILL);
         return;
@@ -239,9 +247,12 @@
       case 7:
         crashUpstream(service);
         return;
-      default:
+      case 8:
         drainUpstream(service);
         return;
+      default:
+        restartService();
+        return;
     }
   }
 
@@ -253,7 +264,23 @@
     }
     upstream->crash();
     after(3600, [this, upstream] { m_world.m_store.remove(upstream->key()); });
-    after(1500, [this, aService] { m_world.addUpstream(aService, "dc0"); });
+    after(1500, [this, aService] { m_world.addUpstream(aService, "dc0", kColdStart); });
+  }
+
+  /// All upstreams of the limited service end, which the store knows, and others start cold.
+  void restartService()
+  {
+    for (const auto& upstream : m_world.m_upstreams) {
+      if (upstream->isAlive() && upstream->service() == kLimitedService) {
+        upstream->crash();
+        m_world.m_store.remove(upstream->key());
+      }
+    }
+    after(1200, [this] {
+      for (int index = 0; index < 6; ++index) {
+        m_world.addUpstream(kLimitedService, "dc" + std::to_string(index % 3), kColdStart);
+      }
+    });
   }
 
   /// A planned change: the upstream leaves with its flows, another one takes its place.
@@ -263,7 +290,7 @@
     if (upstream == nullptr) {
       return;
     }
-    m_world.addUpstream(aService, "dc1");
+    m_world.addUpstream(aService, "dc1", kColdStart);
     upstream->publish(true);
     after(
       8000,
--- a/soak/World.cpp
+++ b/soak/World.cpp
@@ -160,15 +160,25 @@
                    int aService,
                    std::string aDataCentre,
                    uint32_t aAddress,
-                   uint32_t aId)
+                   uint32_t aId,
+                   std::chrono::milliseconds aColdFor)
   : m_world(aWorld)
   , m_service(aService)
   , m_dataCentre(std::move(aDataCentre))
   , m_address(aAddress)
   , m_id(aId)
+  , m_warmAt(Clock::now() + aColdFor)
+  , m_warmTimer(aWorld.m_io, m_warmAt)
   , m_socket(aWorld.m_io, udp(aAddress, kUpstreamPort))
 {
   receive();
+  if (aColdFor.count() > 0) {
+    m_warmTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError && m_isAlive) {
+        publish(m_drainingSince != Clock::time_point{});
+      }
+    });
+  }
 }
 
 std::string
@@ -184,9 +194,11 @@
 void
 Upstream::publish(bool aIsDraining)
 {
-  if (aIsDraining) {
+  if (aIsDraining && m_drainingSince == Clock::time_point{}) {
     m_drainingSince = Clock::now();
   }
+  const auto warmUpLeft =
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_warmAt - Clock::now()).count();
   m_world.m_store.put(
     key(),
     Json{ { "service", m_service == 0 ? "feed" : "report" },
@@ -194,7 +206,7 @@
           { "zone", m_dataCentre },
           { "concurrency", 4 },
           { "state", aIsDraining ? "draining" : "ready" },
-          { "warmup_left_ms", 0 },
+          { "warmup_left_ms", std::max<int64_t>(0, warmUpLeft) },
           { "born", m_id } }
       .dump());
 }
@@ -242,16 +254,8 @@
     m_world.complain("an upstream got a packet of another service");
     return;
   }
-  const auto now = Clock::now();
   if (packet->m_opens) {
-    const bool isLate =
-      m_drainingSince != Clock::time_point{} && now - m_drainingSince > kDrainBound &&
-      m_drainingSince > m_world.m_lastFault && now - m_world.m_lastFault > kInTouch;
-    if (isLate) {
-      m_world.complain("a leaving upstream got a new flow after 3 s");
-    }
-    m_flows.insert(packet->m_flow);
-    reply(*packet, kOpens | kAcknowledges, 0);
+    onOpening(*packet);
     return;
   }
   // The flow is open here only if its caller acknowledges this upstream's own sequence number.
@@ -275,6 +279,30 @@
   }
 }
 
+void
+Upstream::onOpening(const steering::FlowPacket& aPacket)
+{
+  const auto now = Clock::now();
+  const bool isLate = m_drainingSince != Clock::time_point{} &&
+                      now - m_drainingSince > kDrainBound &&
+                      m_drainingSince > m_world.m_lastFault && now - m_world.m_lastFault > kInTouch;
+  if (isLate) {
+    m_world.complain("a leaving upstream got a new flow after 3 s");
+  }
+  const bool isNew = m_flows.insert(aPacket.m_flow).second;
+  if (isNew && now < m_warmAt && m_service == kLimitedService) {
+    m_coldOpenings.push_back(now);
+    while (now - m_coldOpenings.front() > std::chrono::seconds(1)) {
+      m_coldOpenings.pop_front();
+    }
+    // The limit holds for all hosts together, whatever harms them.
+    if (m_coldOpenings.size() > kColdPerSecond * kColdFactor + kColdSlack) {
+      m_world.complain("a cold upstream got more new flows in a second than its limit");
+    }
+  }
+  reply(aPacket, kOpens | kAcknowledges, 0);
+}
+
 void
 Upstream::reply(const steering::FlowPacket& aPacket, uint8_t aFlags, uint16_t aLength)
 {
@@ -478,23 +506,26 @@
                        { "service", index == 0 ? "feed" : "report" } });
   }
   m_configuration += 1 + m_random() % 5;
-  m_store.put("op/config",
-              Json{ { "version", m_configuration },
-                    { "routes", routes },
-                    { "services", Json::array() },
-                    { "limits", Json::object() } }
-                .dump());
+  m_store.put(
+    "op/config",
+    Json{ { "version", m_configuration },
+          { "routes", routes },
+          { "services",
+            { { { "name", "report" }, { "warmup_s", 2.0 }, { "warmup_per_s", kColdPerSecond } } } },
+          { "limits", Json::object() } }
+      .dump());
 }
 
 Upstream&
-World::addUpstream(int aService, const std::string& aDataCentre)
+World::addUpstream(int aService, const std::string& aDataCentre, std::chrono::milliseconds aColdFor)
 {
   const auto number = static_cast<uint32_t>(m_upstreams.size()) + 1;
   m_upstreams.push_back(std::make_unique<Upstream>(*this,
                                                    aService,
                                                    aDataCentre,
                                                    netOf(Net::Upstream, m_lane) + number,
-                                                   0x10000000 + number * 4096));
+                                                   0x10000000 + number * 4096,
+                                                   aColdFor));
   m_upstreams.back()->publish(false);
   return *m_upstreams.back();
 }
--- a/soak/World.h
+++ b/soak/World.h
@@ -25,6 +25,12 @@
 /// Routes of the two services; the second one's requests may not be repeated.
 inline constexpr std::array<uint16_t, 2> kRoutePorts{ 443, 80 };
 
+/// The service whose cold upstreams have a limit of new flows, and that limit as hosts get it.
+inline constexpr int kLimitedService = 1;
+inline constexpr double kColdPerSecond = 3.5;
+inline constexpr double kColdFactor = 1.5;
+inline constexpr double kColdSlack = 5;
+
 /// Loopback networks of a soak, by what stands there. Soaks in different lanes can run side by
 /// side.
 enum class Net : uint8_t
@@ -76,7 +82,12 @@
 class Upstream
 {
 public:
-  Upstream(World& aWorld, int aService, std::string aDataCentre, uint32_t aAddress, uint32_t aId);
+  Upstream(World& aWorld,
+           int aService,
+           std::string aDataCentre,
+           uint32_t aAddress,
+           uint32_t aId,
+           std::chrono::milliseconds aColdFor);
   void publish(bool aIsDraining);
   /// Ends without a word; its entry goes later.
   void crash();
@@ -88,6 +99,7 @@
 private:
   void receive();
   void onDatagram(std::span<const uint8_t> aDatagram);
+  void onOpening(const tamarack::steering::FlowPacket& aPacket);
   void reply(const tamarack::steering::FlowPacket& aPacket, uint8_t aFlags, uint16_t aLength);
 
   World& m_world;
@@ -97,6 +109,11 @@
   uint32_t m_id;
   bool m_isAlive{ true };
   Clock::time_point m_drainingSince{};
+  /// When its cold start ends.
+  Clock::time_point m_warmAt;
+  asio::steady_timer m_warmTimer;
+  /// New flows of the last second while it is cold.
+  std::deque<Clock::time_point> m_coldOpenings;
   std::set<tamarack::packet::FlowKey> m_flows;
   /// Requests that ran here.
   std::set<uint32_t> m_runs;
@@ -152,7 +169,9 @@
 public:
   World(asio::io_context& aIo, uint32_t aSeed, uint32_t aLane);
 
-  Upstream& addUpstream(int aService, const std::string& aDataCentre);
+  Upstream& addUpstream(int aService,
+                        const std::string& aDataCentre,
+                        std::chrono::milliseconds aColdFor = {});
   [[nodiscard]] Upstream* randomUpstream(int aService);
   [[nodiscard]] size_t living(int aService) const;
   void publishConfiguration();
