[steering] A cold upstream with room goes before a silent one; cold-limit names the refusal

Cause: while upstreams that callers found silent were still listed, new flows went to them, and cold upstreams with room in their limit stood idle. A refusal under a cold limit showed no-capacity, so the log did not say why. Change: cold upstreams within their limit come before avoided ones; Placement returns why there is none; error kind cold-limit.

--- a/lib/base/Errors.cpp
+++ b/lib/base/Errors.cpp
@@ -61,6 +61,10 @@
     "upstream-silent",
     ResetOver,
     "The upstream does not answer a request that may be repeated." },
+  { ColdLimit,
+    "cold-limit",
+    ResetNotRun,
+    "Only cold upstreams are left, and their limit leaves no room on this host." },
 } };
 
 } // namespace
--- a/lib/base/Errors.h
+++ b/lib/base/Errors.h
@@ -32,6 +32,7 @@
   RouteUnconfirmed,
   TokenUnknown,
   UpstreamSilent,
+  ColdLimit,
 };
 
 /// What the sender of the packet is told.
@@ -54,7 +55,7 @@
   std::string_view m_meaning;
 };
 
-inline constexpr size_t kErrorKindCount = 20;
+inline constexpr size_t kErrorKindCount = 21;
 
 /// The whole table, in the order of ErrorKind.
 [[nodiscard]] std::span<const ErrorRow, kErrorKindCount>
--- a/lib/steering/Placement.cpp
+++ b/lib/steering/Placement.cpp
@@ -99,12 +99,12 @@
   return nullptr;
 }
 
-Upstream*
+Placed
 Placement::choose(TimePoint aNow, const PlacementRequest& aRequest)
 {
   const Service* service = pickService(aRequest);
   if (service == nullptr) {
-    return nullptr;
+    return {};
   }
   Draw local;
   Draw remote;
@@ -127,26 +127,32 @@
   Upstream* const far = remote.best(aNow, m_random);
   if (near != nullptr && far != nullptr) {
     const bool isCrowded = loadOf(*near, aNow) > loadOf(*far, aNow) + kSpillMargin;
-    return point <= share && !isCrowded ? near : far;
+    return { point <= share && !isCrowded ? near : far };
   }
   if (near != nullptr || far != nullptr) {
-    return near != nullptr ? near : far;
+    return { near != nullptr ? near : far };
   }
-  Upstream* const doubtful = avoided.best(aNow, m_random);
-  return doubtful != nullptr ? doubtful : chooseCold(aNow, *service, aRequest.m_avoid);
+  const Placed cold = chooseCold(aNow, *service, aRequest.m_avoid);
+  Upstream* const doubtful = cold.m_upstream == nullptr ? avoided.best(aNow, m_random) : nullptr;
+  return doubtful != nullptr ? Placed{ doubtful } : cold;
 }
 
-Upstream*
+Placed
 Placement::chooseCold(TimePoint aNow, const Service& aService, Token aAvoid)
 {
+  Placed placed;
   for (Upstream* upstream : aService.m_upstreams) {
-    if (upstream->isOpen() && isLimited(*upstream, aNow) && upstream->m_token != aAvoid &&
-        m_coldBudget.allows(aNow, *upstream, aService.m_record)) {
+    if (!upstream->isOpen() || !isLimited(*upstream, aNow) || upstream->m_token == aAvoid) {
+      continue;
+    }
+    placed.m_refusal = ErrorKind::ColdLimit;
+    if (m_coldBudget.allows(aNow, *upstream, aService.m_record)) {
       m_coldBudget.onPlaced(aNow, *upstream);
-      return upstream;
+      placed.m_upstream = upstream;
+      break;
     }
   }
-  return nullptr;
+  return placed;
 }
 
 } // namespace tamarack::steering
--- a/lib/steering/Placement.h
+++ b/lib/steering/Placement.h
@@ -20,6 +20,13 @@
   Token m_avoid;
 };
 
+/// An upstream, or why there is none.
+struct Placed
+{
+  Upstream* m_upstream{};
+  ErrorKind m_refusal{ ErrorKind::NoCapacity };
+};
+
 class Placement
 {
 public:
@@ -30,15 +37,14 @@
   {
   }
 
-  /// Returns null when no upstream can take the flow now.
-  [[nodiscard]] Upstream* choose(TimePoint aNow, const PlacementRequest& aRequest);
+  [[nodiscard]] Placed choose(TimePoint aNow, const PlacementRequest& aRequest);
 
 private:
   /// The better of two upstreams that were drawn from a group as it went by.
   class Draw;
 
   [[nodiscard]] Service* pickService(const PlacementRequest& aRequest);
-  [[nodiscard]] Upstream* chooseCold(TimePoint aNow, const Service& aService, Token aAvoid);
+  [[nodiscard]] Placed chooseCold(TimePoint aNow, const Service& aService, Token aAvoid);
 
   Directory& m_directory;
   ColdBudget& m_coldBudget;
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -510,7 +510,9 @@
   registry::UpstreamRecord record = Fixture::record(1);
   record.m_warmUpLeft = Millis{ 10'000 };
   fixture.addUpstream(record);
-  CHECK(fixture.decide(fixture.opening(1)).m_action == Action::Reset);
+  const Choice refused = fixture.decide(fixture.opening(1));
+  CHECK(refused.m_action == Action::Reset);
+  CHECK(refused.m_error == ErrorKind::ColdLimit);
   fixture.m_coldBudget.setOwner(fixture.m_now, true);
   int placed = 0;
   for (uint16_t flow = 2; flow < 200; ++flow) {
@@ -522,6 +524,23 @@
   CHECK(placed <= 9);
 }
 
+TEST_CASE("a cold upstream with room in its limit is preferred to one that seems silent")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token silent = fixture.open(1);
+  registry::UpstreamRecord record = Fixture::record(2);
+  record.m_warmUpLeft = Millis{ 10'000 };
+  fixture.addUpstream(record);
+  fixture.m_coldBudget.setOwner(fixture.m_now, true);
+  for (const uint32_t host : { 6, 7, 8 }) {
+    fixture.upstream(silent).m_health.onReportedSilence(fixture.m_now, HostId{ host });
+  }
+  CHECK(fixture.open(2) != silent);
+  fixture.m_coldBudget.setOwner(fixture.m_now, false);
+  CHECK(fixture.open(3) == silent);
+}
+
 TEST_CASE("one lost packet that readers report twice does not make an upstream dead")
 {
   // A fleet of eighty: each host sees few flows, and two readers pass each report on.
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -170,10 +170,11 @@
       noteSilence(aNow, aPacket, *silent, surprise);
     }
   }
-  Upstream* const chosen =
+  const Placed placed =
     m_placement.choose(aNow, { .m_route = &route->m_record, .m_flowKey = key, .m_avoid = before });
+  Upstream* const chosen = placed.m_upstream;
   if (chosen == nullptr) {
-    return refuse(aNow, aPacket, ErrorKind::NoCapacity, EventId::FlowRefused);
+    return refuse(aNow, aPacket, placed.m_refusal, EventId::FlowRefused);
   }
   FlowState& flow = m_flows.findOrAdd(aNow, key);
   flow = {
