[steering] New flows avoid upstreams that turn slow

Cause: upstreams that work five times slower shed nothing and lose nothing, so nothing showed them: of 75 hosts each sees a request in five seconds at an upstream, and placement compares what this host sent. Change: each answer is judged against the median of its service (a likelihood ratio that adapts to how often answers are slow); two slow answers, or reports of three hosts, keep new flows away for 1.5 s. Very slow answers (8 times the median) are told to other hosts with the sightings. Log events 517, 518. The load is played in steering_test: without the judgement an eighth of new flows goes to the slow upstream, with it at most 30 of 500; the test fails without it. Kept flows stay: a reset of an open flow is not allowed.

--- a/lib/base/Events.cpp
+++ b/lib/base/Events.cpp
@@ -106,6 +106,13 @@
   { EventId::TokenCollision,
     "token-collision",
     "Two upstreams have the same token; the one that is named gets no flows." },
+  { EventId::UpstreamSlow,
+    "upstream-slow",
+    "Answers of an upstream take several times as long as usual in its service; new flows avoid it "
+    "for 1.5 s." },
+  { EventId::AnswerSlow,
+    "answer-slow",
+    "A caller waited many times as long as usual in the service; other hosts are told." },
   { EventId::DataCentreOut,
     "data-centre-out",
     "A data centre was taken out; its flows are reset." },
--- a/lib/base/Events.h
+++ b/lib/base/Events.h
@@ -56,6 +56,8 @@
   UpstreamAvoided = 514,
   UpstreamAnswers = 515,
   TokenCollision = 516,
+  UpstreamSlow = 517,
+  AnswerSlow = 518,
   DataCentreOut = 600,
   DataCentreBack = 601,
   FlowOpened = 700,
--- a/lib/dissemination/DisseminationTest.cpp
+++ b/lib/dissemination/DisseminationTest.cpp
@@ -179,12 +179,13 @@
 
 TEST_CASE("mutated statuses are refused or read")
 {
-  const std::vector<uint8_t> bytes = encodeStatus({ .m_sender = HostId{ 3 },
-                                                    .m_dataCentre = "near",
-                                                    .m_known = { { HostId{ 4 }, "far" } },
-                                                    .m_nominees = { HostId{ 4 } },
-                                                    .m_sightings = { { 7, true, HostId{ 3 } } },
-                                                    .m_difference = { 1, 2, 3 } });
+  const std::vector<uint8_t> bytes =
+    encodeStatus({ .m_sender = HostId{ 3 },
+                   .m_dataCentre = "near",
+                   .m_known = { { HostId{ 4 }, "far" } },
+                   .m_nominees = { HostId{ 4 } },
+                   .m_sightings = { { 7, Sign::Slowness, HostId{ 3 } } },
+                   .m_difference = { 1, 2, 3 } });
   REQUIRE(decodeStatus(bytes).ok());
   std::minstd_rand random(5);
   for (int round = 0; round < 100'000; ++round) {
--- a/lib/dissemination/Status.cpp
+++ b/lib/dissemination/Status.cpp
@@ -9,7 +9,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int kVersion = 1;
+constexpr int kVersion = 2;
 
 } // namespace
 
@@ -27,7 +27,7 @@
   Json sightings = Json::array();
   for (const Sighting& sighting : aStatus.m_sightings) {
     sightings.push_back(
-      Json::array({ sighting.m_token, sighting.m_isAlive, sighting.m_witness.m_value }));
+      Json::array({ sighting.m_token, sighting.m_sign, sighting.m_witness.m_value }));
   }
   return Json::to_msgpack(Json::array({ kVersion,
                                         aStatus.m_sender.m_value,
@@ -71,8 +71,12 @@
         { HostId{ host.at(0).get<uint32_t>() }, host.at(1).get<std::string>() });
     }
     for (const Json& sighting : fields.at(11)) {
+      const auto sign = sighting.at(1).get<uint8_t>();
+      if (sign > static_cast<uint8_t>(Sign::Slowness)) {
+        return absl::InvalidArgumentError("a status with an unknown sign of an upstream");
+      }
       status.m_sightings.push_back({ sighting.at(0).get<uint32_t>(),
-                                     sighting.at(1).get<bool>(),
+                                     static_cast<Sign>(sign),
                                      HostId{ sighting.at(2).get<uint32_t>() } });
     }
     for (const Json& nominee : fields.at(13)) {
--- a/lib/dissemination/Status.h
+++ b/lib/dissemination/Status.h
@@ -18,11 +18,21 @@
   std::string m_dataCentre;
 };
 
-/// A callers' sign of life or silence of an upstream.
+/// What callers showed of an upstream.
+enum class Sign : uint8_t
+{
+  /// It does not answer.
+  Silence,
+  /// It answers again.
+  Life,
+  /// It answers many times slower than usual.
+  Slowness,
+};
+
 struct Sighting
 {
   uint32_t m_token{};
-  bool m_isAlive{};
+  Sign m_sign{};
   /// The host whose caller it was.
   HostId m_witness;
 };
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -12,6 +12,22 @@
 /// A difference larger than this is fetched by those that lack it; a status without one is smaller.
 constexpr size_t kInlineDifferenceBytes = 1000;
 
+/// What an event shows that other hosts should know.
+std::optional<dissemination::Sign>
+signOf(EventId aEvent)
+{
+  switch (aEvent) {
+    case EventId::UpstreamAvoided:
+      return dissemination::Sign::Silence;
+    case EventId::UpstreamAnswers:
+      return dissemination::Sign::Life;
+    case EventId::AnswerSlow:
+      return dissemination::Sign::Slowness;
+    default:
+      return std::nullopt;
+  }
+}
+
 } // namespace
 
 Host::Host(HostOptions aOptions)
@@ -97,9 +113,18 @@
   if (upstream == nullptr || aSighting.m_witness == m_self) {
     return;
   }
-  const bool isNews = aSighting.m_isAlive
-                        ? upstream->m_health.onProgress(aNow)
-                        : upstream->m_health.onReportedSilence(aNow, aSighting.m_witness);
+  bool isNews = false;
+  switch (aSighting.m_sign) {
+    case dissemination::Sign::Silence:
+      isNews = upstream->m_health.onReportedSilence(aNow, aSighting.m_witness);
+      break;
+    case dissemination::Sign::Life:
+      isNews = upstream->m_health.onProgress(aNow);
+      break;
+    case dissemination::Sign::Slowness:
+      isNews = upstream->m_pace.onReport(aNow, aSighting.m_witness);
+      break;
+  }
   if (isNews && m_isReader && m_sightings.size() < kMostSightings) {
     m_sightings.push_back(aSighting);
   }
@@ -111,10 +136,9 @@
   const auto events = m_steering.events().events();
   for (; m_sightedEvents < events.size(); ++m_sightedEvents) {
     const steering::FlowEvent& event = events[m_sightedEvents];
-    const bool isSilence = event.m_event == EventId::UpstreamAvoided;
-    const bool isProgress = event.m_event == EventId::UpstreamAnswers;
-    if ((isSilence || isProgress) && m_sightings.size() < kMostSightings) {
-      m_sightings.push_back({ event.m_token.m_value, isProgress, m_self });
+    const std::optional<dissemination::Sign> sign = signOf(event.m_event);
+    if (sign && m_sightings.size() < kMostSightings) {
+      m_sightings.push_back({ event.m_token.m_value, *sign, m_self });
     }
   }
 }
--- a/lib/edge/Reports.cpp
+++ b/lib/edge/Reports.cpp
@@ -61,6 +61,8 @@
            { "data_centre_out", aUpstream.m_isOut },
            { "avoided", aUpstream.m_health.isAvoided(aNow) },
            { "evidence_of_silence", aUpstream.m_health.evidence() },
+           { "slow", aUpstream.m_pace.isSlow(aNow) },
+           { "evidence_of_slowness", aUpstream.m_pace.evidence(aNow) },
            { "requests", aUpstream.m_requests.level(aNow) } };
 }
 
--- a/lib/steering/ChanceMeter.h
+++ b/lib/steering/ChanceMeter.h
@@ -14,13 +14,16 @@
 {
 public:
   /// `aFirst`: what is assumed at the start; `aLeast`: what is assumed at least.
-  ChanceMeter(double aFirst, double aLeast)
+  ChanceMeter(double aFirst, double aLeast, double aGain = kChanceGain)
     : m_chance(aFirst)
     , m_least(aLeast)
+    , m_gain(aGain)
   {
   }
 
-  void add(bool aHappened) { m_chance += ((aHappened ? 1.0 : 0.0) - m_chance) * kChanceGain; }
+  void add(bool aHappened) { m_chance += ((aHappened ? 1.0 : 0.0) - m_chance) * m_gain; }
+
+  [[nodiscard]] double chance() const { return std::clamp(m_chance, m_least, 1 - m_least); }
 
   /// The surprise of one more such event, in nats.
   [[nodiscard]] double surprise() const { return -std::log(std::clamp(m_chance, m_least, 1.0)); }
@@ -28,6 +31,7 @@
 private:
   double m_chance;
   double m_least;
+  double m_gain;
 };
 
 } // namespace tamarack::steering
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -4,7 +4,9 @@
 
 #include "base/Events.h"
 #include "registry/Registry.h"
+#include "steering/ChanceMeter.h"
 #include "steering/LoadMeter.h"
+#include "steering/Pace.h"
 #include "steering/PassiveHealth.h"
 #include "steering/ResponseTimes.h"
 #include "steering/Steering.h"
@@ -52,6 +54,7 @@
   TimePoint m_absentSince;
   TimePoint m_coldUntil;
   PassiveHealth m_health;
+  Pace m_pace;
   LoadMeter m_requests{ kRequestFade };
   LoadMeter m_flows{ kFlowFade };
   bool m_isLocal{};
@@ -76,6 +79,9 @@
   registry::ServiceRecord m_record;
   std::vector<Upstream*> m_upstreams;
   ResponseTimes m_responses;
+  /// How often an answer is slow. Follows slowly, so that a few upstreams that turn slow stand out
+  /// for ten seconds at a hundred answers a second.
+  ChanceMeter m_slowAnswers{ 0.01, 0.005, 1.0 / 1024 };
   /// Most local upstreams that were registered at a time lately.
   double m_localStrength{};
 };
--- a/lib/steering/FlowEvents.cpp
+++ b/lib/steering/FlowEvents.cpp
@@ -27,6 +27,9 @@
   if (aEvent.m_repeats > 0) {
     text += " repeats=" + std::to_string(aEvent.m_repeats);
   }
+  if (aEvent.m_time != Millis{}) {
+    text += " time_ms=" + std::to_string(aEvent.m_time.count());
+  }
   return text + " revision=" + std::to_string(aEvent.m_revision) +
          " view_age_ms=" + std::to_string(aEvent.m_viewAge.count());
 }
--- a/lib/steering/FlowEvents.h
+++ b/lib/steering/FlowEvents.h
@@ -24,6 +24,8 @@
   Token m_before;
   uint32_t m_copy{};
   uint32_t m_repeats{};
+  /// That an answer took, or that a caller has waited.
+  Millis m_time{};
   /// The records that decided it and their age.
   registry::Revision m_revision{};
   Millis m_viewAge{};
--- a/lib/steering/Placement.cpp
+++ b/lib/steering/Placement.cpp
@@ -113,7 +113,8 @@
     if (!upstream->isOpen() || isLimited(*upstream, aNow)) {
       continue;
     }
-    if (upstream->m_token == aRequest.m_avoid || upstream->m_health.isAvoided(aNow)) {
+    if (upstream->m_token == aRequest.m_avoid || upstream->m_health.isAvoided(aNow) ||
+        upstream->m_pace.isSlow(aNow)) {
       avoided.see(*upstream, m_random);
     } else {
       (upstream->m_isLocal ? local : remote).see(*upstream, m_random);
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -541,6 +541,107 @@
   CHECK(fixture.open(3) == silent);
 }
 
+TEST_CASE("an upstream that turns slow gets fewer new flows, and others are told")
+{
+  // Eight upstreams, a hundred requests a second; answers are log-normal with a spread of 0.5. One
+  // upstream then works five times slower.
+  Fixture fixture;
+  for (uint64_t upstream = 1; upstream <= 8; ++upstream) {
+    fixture.addUpstream(Fixture::record(upstream));
+  }
+  std::mt19937 random(5);
+  std::lognormal_distribution<double> times(std::log(60.0), 0.5);
+  Token slow;
+  std::multimap<TimePoint, std::pair<uint16_t, Token>> answers;
+  int toSlow = 0;
+  int told = 0;
+  int wronglySlow = 0;
+  const auto play = [&](int aRequests) {
+    for (int index = 0; index < aRequests; ++index) {
+      fixture.wait(Millis{ 10 });
+      while (!answers.empty() && answers.begin()->first <= fixture.m_now) {
+        const auto [port, token] = answers.begin()->second;
+        fixture.acknowledge(port, token);
+        answers.erase(answers.begin());
+      }
+      const auto port = static_cast<uint16_t>(1000 + fixture.m_now.time_since_epoch().count() / 10);
+      const Token token = fixture.open(port);
+      CHECK(fixture.decide(fixture.request(port, token)).m_action == Action::Forward);
+      const double time = times(random) * (token == slow ? 5 : 1);
+      answers.emplace(fixture.m_now + Millis{ static_cast<int64_t>(time) },
+                      std::pair{ port, token });
+      toSlow += token == slow ? 1 : 0;
+      for (const FlowEvent& event : fixture.m_steering.events().events()) {
+        told += event.m_event == EventId::AnswerSlow ? 1 : 0;
+        wronglySlow += event.m_event == EventId::UpstreamSlow && event.m_token != slow ? 1 : 0;
+      }
+      fixture.m_steering.events().clear();
+    }
+  };
+  play(1000);
+  CHECK(wronglySlow <= 3);
+  slow = answers.begin()->second.second;
+  toSlow = 0;
+  play(500);
+  // An eighth of 500 without a judgement.
+  CHECK(toSlow <= 30);
+  CHECK(told >= 1);
+  slow = {};
+  play(300);
+  const Token former = fixture.open(60'000);
+  std::map<uint32_t, int> perUpstream;
+  for (uint16_t port = 60'001; port < 60'201; ++port) {
+    ++perUpstream[fixture.open(port).m_value];
+  }
+  CHECK(former);
+  CHECK(perUpstream.size() == 8);
+}
+
+TEST_CASE("reports of three hosts make an upstream slow; one host that repeats itself does not")
+{
+  Fixture fixture;
+  for (uint64_t upstream = 1; upstream <= 4; ++upstream) {
+    fixture.addUpstream(Fixture::record(upstream));
+  }
+  const Token token = fixture.open(1);
+  Pace& pace = fixture.upstream(token).m_pace;
+  for (int report = 0; report < 4; ++report) {
+    pace.onReport(fixture.m_now, HostId{ 5 });
+  }
+  CHECK_FALSE(pace.isSlow(fixture.m_now));
+  CHECK(pace.onReport(fixture.m_now, HostId{ 6 }));
+  CHECK(pace.onReport(fixture.m_now, HostId{ 7 }));
+  CHECK(pace.isSlow(fixture.m_now));
+  for (uint16_t flow = 2; flow < 40; ++flow) {
+    CHECK(fixture.open(flow) != token);
+  }
+  fixture.wait(kSlowAvoidance);
+  CHECK_FALSE(pace.isSlow(fixture.m_now));
+}
+
+TEST_CASE("when all upstreams of a service turn slow together, none is avoided for it")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  Upstream& upstream = fixture.upstream(token);
+  uint16_t port = 2;
+  const auto play = [&](int aRequests, int aTime) {
+    int slow = 0;
+    for (int index = 0; index < aRequests; ++index, ++port) {
+      const Token chosen = fixture.open(port);
+      CHECK(fixture.decide(fixture.request(port, chosen)).m_action == Action::Forward);
+      fixture.wait(Millis{ aTime });
+      fixture.acknowledge(port, chosen);
+      slow += upstream.m_pace.isSlow(fixture.m_now) ? 1 : 0;
+    }
+    return slow;
+  };
+  CHECK(play(100, 60) == 0);
+  play(200, 300);
+  CHECK(play(50, 300) == 0);
+}
+
 TEST_CASE("one lost packet that readers report twice does not make an upstream dead")
 {
   // A fleet of eighty: each host sees few flows, and two readers pass each report on.
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -141,6 +141,32 @@
   }
 }
 
+void
+TokenSteering::judgePace(TimePoint aNow,
+                         const FlowPacket& aPacket,
+                         Upstream& aUpstream,
+                         Millis aTime)
+{
+  Service& service = *aUpstream.m_service;
+  const double median = service.m_responses.median();
+  if (median == 0) {
+    return;
+  }
+  const auto time = static_cast<double>(aTime.count());
+  const bool isSlow = aTime >= kLeastSlow && time > kSlowFactor * median;
+  if (aUpstream.m_pace.onAnswer(aNow, isSlow, service.m_slowAnswers.chance())) {
+    record(aNow,
+           aPacket,
+           { .m_event = EventId::UpstreamSlow, .m_token = aUpstream.m_token, .m_time = aTime });
+  }
+  service.m_slowAnswers.add(isSlow);
+  if (aTime >= kLeastReported && time > kReportFactor * median) {
+    record(aNow,
+           aPacket,
+           { .m_event = EventId::AnswerSlow, .m_token = aUpstream.m_token, .m_time = aTime });
+  }
+}
+
 Choice
 TokenSteering::open(TimePoint aNow, const FlowPacket& aPacket)
 {
@@ -234,10 +260,14 @@
   if (isAfter(aPacket.m_acknowledged, aFlow.m_acknowledged)) {
     aFlow.m_acknowledged = aPacket.m_acknowledged;
     m_requestRepeated.add(aFlow.m_repeats > 0);
+    const bool isJudged = aFlow.m_repeats > 1;
     aFlow.m_repeats = 0;
     seen.m_isProgress = true;
     if (aFlow.m_requestAt != TimePoint{}) {
       const Millis time = aNow - aFlow.m_requestAt;
+      if (!isJudged) {
+        judgePace(aNow, aPacket, aUpstream, time);
+      }
       aUpstream.m_service->m_responses.add(time);
       if (m_observer) {
         m_observer(time);
@@ -265,6 +295,9 @@
     // vain, a caller must have lost two packets in a row.
     seen.m_evidence = isHopeless ? 2 * surprise : (aFlow.m_repeats == 0 ? surprise / 2 : 0);
     aFlow.m_repeats = static_cast<uint8_t>(std::min(aFlow.m_repeats + 1, 255));
+    if (aFlow.m_repeats == 2 && aFlow.m_requestAt != TimePoint{}) {
+      judgePace(aNow, aPacket, aUpstream, aNow - aFlow.m_requestAt);
+    }
     ++m_counters.m_repeats;
   }
   return seen;
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -119,6 +119,8 @@
                    const FlowPacket& aPacket,
                    Upstream& aUpstream,
                    double aSurprise);
+  /// Weighs how long an answer took, or how long a caller has waited for one.
+  void judgePace(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream, Millis aTime);
   [[nodiscard]] bool isViewTrusted(TimePoint aNow) const;
   [[nodiscard]] bool mayRepeat(const packet::FlowKey& aFlow) const;
 
