[edge] Beliefs that other hosts' reports begin are logged; one sighting a message

Cause: a host that came to avoid an upstream by reports alone wrote no line, so its later choices could not be explained from its log. Under overload each slow answer added a sighting of its own. Change: lines upstream-avoided and upstream-slow with the witness; a sighting of this host stands once in a message.

--- a/lib/dissemination/Status.h
+++ b/lib/dissemination/Status.h
@@ -35,6 +35,8 @@
   Sign m_sign{};
   /// The host whose caller it was.
   HostId m_witness;
+
+  friend bool operator==(const Sighting&, const Sighting&) = default;
 };
 
 struct Status
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -273,6 +273,27 @@
   CHECK(openFlows(*host, now) == 0);
 }
 
+TEST_CASE("what other hosts saw of an upstream is believed and logged")
+{
+  TimePoint now{ Millis{ 70'000 } };
+  const auto host = hostBesideCold(10, "natal", now);
+  const auto token = host->directory().upstreams().front()->m_token.m_value;
+  const auto logged = [&](EventId aEvent) {
+    return std::ranges::count(host->takeLines(now), aEvent, &Line::m_event);
+  };
+  for (const uint32_t other : { 90U, 91U, 92U }) {
+    dissemination::Status status = statusOf(other, "natal");
+    status.m_sightings = { { token, dissemination::Sign::Slowness, HostId{ other } } };
+    host->onStatus(now, status);
+  }
+  CHECK(logged(EventId::UpstreamSlow) == 1);
+  dissemination::Status status = statusOf(93, "natal");
+  status.m_sightings = { { token, dissemination::Sign::Silence, HostId{ 93 } } };
+  host->onStatus(now, status);
+  host->onStatus(now, status);
+  CHECK(logged(EventId::UpstreamAvoided) == 1);
+}
+
 TEST_CASE("a host starts with old records, brings them up to date and goes on with watches")
 {
   Fixture fixture;
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -113,6 +113,8 @@
   if (upstream == nullptr || aSighting.m_witness == m_self) {
     return;
   }
+  const bool wasAvoided = upstream->m_health.isAvoided(aNow);
+  const bool wasSlow = upstream->m_pace.isSlow(aNow);
   bool isNews = false;
   switch (aSighting.m_sign) {
     case dissemination::Sign::Silence:
@@ -125,6 +127,14 @@
       isNews = upstream->m_pace.onReport(aNow, aSighting.m_witness);
       break;
   }
+  const std::string fields = "token=" + steering::formatToken(upstream->m_token) +
+                             " witness=" + formatHost(aSighting.m_witness);
+  if (!wasAvoided && upstream->m_health.isAvoided(aNow)) {
+    note(EventId::UpstreamAvoided, fields);
+  }
+  if (!wasSlow && upstream->m_pace.isSlow(aNow)) {
+    note(EventId::UpstreamSlow, fields);
+  }
   if (isNews && m_isReader && m_sightings.size() < kMostSightings) {
     m_sightings.push_back(aSighting);
   }
@@ -137,8 +147,13 @@
   for (; m_sightedEvents < events.size(); ++m_sightedEvents) {
     const steering::FlowEvent& event = events[m_sightedEvents];
     const std::optional<dissemination::Sign> sign = signOf(event.m_event);
-    if (sign && m_sightings.size() < kMostSightings) {
-      m_sightings.push_back({ event.m_token.m_value, *sign, m_self });
+    if (!sign || m_sightings.size() >= kMostSightings) {
+      continue;
+    }
+    // Under overload every answer is slow; once in a message is enough.
+    const dissemination::Sighting sighting{ event.m_token.m_value, *sign, m_self };
+    if (std::ranges::find(m_sightings, sighting) == m_sightings.end()) {
+      m_sightings.push_back(sighting);
     }
   }
 }
