[cleanup] Tests of steering and the soak's stand-ins split by duty

Cause: SteeringTest.cpp had 700 lines and soak/World.cpp 560; a reader had to search for the load that a test plays. Change: SilenceTest, PlacementTest, SteeringTest over one fixture; the soak's caller, upstream, packets and store in files of their own. Moved text only.

--- a/soak/World.h
+++ b/soak/World.h
@@ -25,6 +25,11 @@
 /// Routes of the two services; the second one's requests may not be repeated.
 inline constexpr std::array<uint16_t, 2> kRoutePorts{ 443, 80 };
 
+/// The address of both routes.
+inline constexpr uint32_t kRouteAddress = 0xc6120001;
+/// A promise of fresh records holds for hosts that nothing has harmed for this long.
+inline constexpr std::chrono::seconds kInTouch{ 4 };
+
 /// The service whose cold upstreams have a limit of new flows, and that limit as hosts get it.
 inline constexpr int kLimitedService = 1;
 inline constexpr double kColdPerSecond = 3.5;
