[wire] The four truth values of a heartbeat take one byte

Change: the truth values of a heartbeat are bits of one number, three bytes a frame less. An unknown bit is refused.

--- a/lib/wire/Codec.cpp
+++ b/lib/wire/Codec.cpp
@@ -2,6 +2,7 @@
 // in order, and a Writer or a Reader goes through them.
 #include "wire/Codec.h"
 
+#include <concepts>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
@@ -61,6 +62,16 @@
     m_array.push_back(inner.take());
   }
 
+  /// Writes truth values as the bits of one number, the first one lowest: each frame carries them.
+  template<std::same_as<bool>... Flags>
+  void flags(const Flags&... aFlags)
+  {
+    uint32_t bits = 0;
+    uint32_t place = 1;
+    ((bits |= aFlags ? place : 0, place <<= 1), ...);
+    item(bits);
+  }
+
   /// Writes ascending numbers as gaps, most of which take one byte.
   void ascending(const std::vector<uint16_t>& aNumbers)
   {
@@ -136,6 +147,17 @@
     fields(inner, aStruct);
   }
 
+  template<std::same_as<bool>... Flags>
+  void flags(Flags&... aFlags)
+  {
+    const auto bits = number<uint32_t>();
+    uint32_t place = 1;
+    ((aFlags = (bits & place) != 0, place <<= 1), ...);
+    if (bits >= place) {
+      throw std::invalid_argument("an unknown flag is set");
+    }
+  }
+
   void ascending(std::vector<uint16_t>& aNumbers)
   {
     item(aNumbers);
@@ -223,7 +245,7 @@
     each(aArchive, value.m_hosts);
   } else if constexpr (Is<T, membership::Heartbeat>) {
     each(aArchive, value.m_from, value.m_incarnation, value.m_sentAt, value.m_echo);
-    each(aArchive, value.m_established, value.m_settled, value.m_leaving, value.m_left);
+    aArchive.flags(value.m_established, value.m_settled, value.m_leaving, value.m_left);
     each(aArchive, value.m_settingsRevision);
     each(aArchive, value.m_settingsAge, value.m_mapDigest, value.m_votes, value.m_channelEpoch);
     each(aArchive, value.m_channelBarrier, value.m_ackEpoch, value.m_ack);
--- a/lib/wire/CodecTest.cpp
+++ b/lib/wire/CodecTest.cpp
@@ -53,6 +53,28 @@
   CHECK(wire::encodeFrame(*decoded) == wire::encodeFrame(frame));
 }
 
+TEST_CASE("the truth values of a heartbeat stay apart and take one byte together")
+{
+  bool membership::Heartbeat::*const flags[] = { &membership::Heartbeat::m_established,
+                                                 &membership::Heartbeat::m_settled,
+                                                 &membership::Heartbeat::m_leaving,
+                                                 &membership::Heartbeat::m_left };
+  const size_t size = wire::encodeFrame({}).size();
+  for (const auto flag : flags) {
+    node::Frame frame;
+    frame.m_heartbeat.*flag = true;
+    const auto bytes = wire::encodeFrame(frame);
+    CHECK(bytes.size() == size);
+    const auto decoded = wire::decodeFrame(bytes);
+    REQUIRE(decoded.ok());
+    for (const auto other : flags) {
+      CHECK(decoded->m_heartbeat.*other == (other == flag));
+    }
+  }
+  // Three lists around eleven numbers, the list of votes and the truth values, of a byte each.
+  CHECK(size == 16);
+}
+
 TEST_CASE("20,000 damaged frames are decoded or refused without a crash")
 {
   const auto whole = wire::encodeFrame(makeFrame());
