[soak] A picture of each run: callers' tries against the faults' times

Cause: a soak said only which promise broke. A second in which nobody was served went unseen as long as every caller was served again later.

--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -87,6 +87,7 @@
 void
 Caller::giveUp()
 {
+  m_world.m_timeline.onFailed();
   m_state = State::Idle;
   m_isOpen = false;
   m_sentAt = Clock::now();
@@ -165,6 +166,7 @@
     m_world.complain("a caller got an answer of an upstream that it did not ask");
   }
   ++m_served;
+  m_world.m_timeline.onServed();
   m_lastServed = Clock::now();
   m_sequence += 40;
   m_peerSequence += 4;
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -38,6 +38,7 @@
   int m_lane{};
   std::string m_program;
   std::string m_logs;
+  std::string m_report;
 };
 
 std::string
@@ -46,6 +47,24 @@
   return asio::ip::address_v4(aAddress).to_string() + ":" + std::to_string(aPort);
 }
 
+const char*
+nameOf(Harm aHarm)
+{
+  switch (aHarm) {
+    case Harm::None:
+      return "as usual";
+    case Harm::Delay:
+      return "150 ms late";
+    case Harm::Reset:
+      return "connections reset";
+    case Harm::OneWay:
+      return "answers lost";
+    case Harm::Silent:
+      return "silent";
+  }
+  return "?";
+}
+
 /// One edge process and what stands between it and the store.
 class Host
 {
@@ -185,6 +204,10 @@
     for (const std::string& complaint : m_world.m_complaints) {
       std::cout << "broken: " << complaint << "\n";
     }
+    if (!m_options.m_report.empty()) {
+      std::ofstream(m_options.m_report)
+        << m_world.m_timeline.draw("seed " + std::to_string(m_options.m_seed));
+    }
     std::cout << "seed " << m_options.m_seed << ": " << served << " requests, " << m_faults
               << " faults, " << m_world.m_complaints.size() << " broken promises\n";
     return m_world.m_complaints.empty() ? 0 : 1;
@@ -210,26 +233,37 @@
     ++m_faults;
     m_world.m_lastFault = Clock::now();
     auto& random = m_world.m_random;
-    Host& host = *m_hosts[random() % m_hosts.size()];
+    const size_t index = random() % m_hosts.size();
+    Host& host = *m_hosts[index];
+    const std::string name = " host " + std::to_string(index);
     const int length = 300 + static_cast<int>(random() % 4000);
+    const auto show = [this](const std::string& aWhat, int aLength = 0) {
+      m_world.m_timeline.onFault(aWhat, std::chrono::milliseconds(aLength));
+    };
     const int service = static_cast<int>(random() % 2);
     switch (random() % (kKinds - (m_options.m_seed < kFirstSeedWithAllKinds ? 1 : 0))) {
       case 0:
+        show("kill" + name);
         host.signal(SIGKILL);
         return;
       case 1:
+        show("stop" + name);
         host.signal(SIGTERM);
         return;
       case 2:
+        show("pause" + name, length);
         host.signal(SIGSTOP);
         after(length, [&host] { host.signal(SIGCONT); });
         return;
       case 3:
+        show("reload" + name);
         host.signal(SIGHUP);
         return;
       case 4: {
         const auto harm = static_cast<Harm>(1 + random() % 4);
         const bool isForAll = random() % 3 == 0;
+        show(std::string("store ") + nameOf(harm) + " for" + (isForAll ? " all hosts" : name),
+             length);
         for (const auto& each : m_hosts) {
           if (isForAll || each.get() == &host) {
             each->proxy().harm(harm);
@@ -239,18 +273,23 @@
         return;
       }
       case 5:
+        show("store forgets its history");
         m_world.m_store.forgetHistory();
         return;
       case 6:
+        show("new configuration");
         m_world.publishConfiguration();
         return;
       case 7:
+        show("an upstream of service " + std::to_string(service) + " crashes");
         crashUpstream(service);
         return;
       case 8:
+        show("an upstream of service " + std::to_string(service) + " leaves");
         drainUpstream(service);
         return;
       default:
+        show("all upstreams of service " + std::to_string(kLimitedService) + " start anew", 1200);
         restartService();
         return;
     }
@@ -365,6 +404,7 @@
   Options options;
   char* program = nullptr;
   char* logs = nullptr;
+  char* report = nullptr;
   const poptOption table[] = {
     { "seed", 's', POPT_ARG_INT, &options.m_seed, 0, "names the faults", "N" },
     { "seconds", 't', POPT_ARG_INT, &options.m_seconds, 0, "length; faults end 12 s before", "N" },
@@ -373,6 +413,7 @@
     { "lane", 0, POPT_ARG_INT, &options.m_lane, 0, "loopback networks, 0 to 19", "N" },
     { "program", 'p', POPT_ARG_STRING, &program, 0, "the edge program", "FILE" },
     { "logs", 'l', POPT_ARG_STRING, &logs, 0, "an existing folder for logs", "FOLDER" },
+    { "report", 'r', POPT_ARG_STRING, &report, 0, "writes a picture of the run, in SVG", "FILE" },
     POPT_AUTOHELP POPT_TABLEEND
   };
   const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
@@ -385,7 +426,9 @@
   }
   options.m_program = program;
   options.m_logs = logs;
+  options.m_report = report == nullptr ? "" : report;
   std::free(program);
   std::free(logs);
+  std::free(report);
   return Soak(options).run();
 }
--- a/soak/World.h
+++ b/soak/World.h
@@ -2,6 +2,7 @@
 // that are checked from what callers and upstreams see.
 #pragma once
 
+#include "Timeline.h"
 #include "platform/PacketHead.h"
 #include "transport/Http1.h"
 
@@ -17,8 +18,6 @@
 
 namespace soak {
 
-using Clock = std::chrono::steady_clock;
-
 inline constexpr uint16_t kPacketPort = 18172;
 inline constexpr uint16_t kStorePort = 18169;
 inline constexpr uint16_t kUpstreamPort = 18400;
@@ -196,6 +195,7 @@
   Clock::time_point m_lastFault{};
   uint64_t m_configuration{};
   Complaints m_complaints;
+  Timeline m_timeline;
 };
 
 } // namespace soak
