--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -205,8 +205,12 @@
       std::cout << "broken: " << complaint << "\n";
     }
     if (!m_options.m_report.empty()) {
-      std::ofstream(m_options.m_report)
-        << m_world.m_timeline.draw("seed " + std::to_string(m_options.m_seed));
+      std::ofstream file(m_options.m_report);
+      file << m_world.m_timeline.draw("seed " + std::to_string(m_options.m_seed)) << std::flush;
+      if (!file) {
+        std::cerr << "tamarack-soak: " << m_options.m_report << " cannot be written\n";
+        return 2;
+      }
     }
     std::cout << "seed " << m_options.m_seed << ": " << served << " requests, " << m_faults
               << " faults, " << m_world.m_complaints.size() << " broken promises\n";
