[steering] An upstream that refuses callers directly counts as silent

Cause: an upstream that crashed on a machine that runs on refuses each flow itself. Change: three new flows in a row, 100 ms apart or more, after which no caller goes on are evidence of silence. Test: SilenceTest plays the load of the incident. A second test opens bursts whose callers go on late. PlacementTest's data centre that loses half of its upstreams opened 200 flows that no caller went on with; its callers go on now, with the same bounds.

--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -28,6 +28,12 @@
 inline constexpr Millis kSpanOfDead{ 100 };
 /// After its avoidance has ended, an upstream that has not answered gets one new flow at a time.
 inline constexpr Millis kTrialInterval{ 300 };
+/// New flows in a row that no caller goes on with, from which on an upstream counts as silent: it
+/// refuses callers directly, so they repeat nothing. By loss alone, one in 27 on a link that loses
+/// a third of its packets.
+inline constexpr uint32_t kMostUnfollowed = 3;
+/// New flows that come closer say one thing only: callers need a round trip to go on.
+inline constexpr Millis kUnfollowedInterval{ 100 };
 
 class PassiveHealth
 {
@@ -46,12 +52,23 @@
     return true;
   }
 
-  /// A new flow goes there.
-  void onTried(TimePoint aNow)
+  /// A new flow goes there. Returns whether avoidance begins, since no caller went on with the last
+  /// ones.
+  bool onTried(TimePoint aNow)
   {
     if (m_avoidance != Millis{}) {
       m_avoidedUntil = std::max(m_avoidedUntil, aNow + kTrialInterval);
     }
+    if (m_unfollowed > 0 && aNow - m_lastUnfollowedAt < kUnfollowedInterval) {
+      return false;
+    }
+    m_lastUnfollowedAt = aNow;
+    if (m_unfollowed < kMostUnfollowed) {
+      ++m_unfollowed;
+      return false;
+    }
+    m_unfollowed = 0;
+    return onSilence(aNow, kEvidenceOfSilence);
   }
 
   /// A caller acknowledged an answer. Returns whether that is news.
@@ -101,6 +118,9 @@
   std::array<HostId, kMostWitnesses> m_witnesses{};
   uint32_t m_witnessCount{};
   TimePoint m_silentSince;
+  /// New flows since the last sign of life that were kUnfollowedInterval apart.
+  uint32_t m_unfollowed{};
+  TimePoint m_lastUnfollowedAt;
   Millis m_avoidance{};
   TimePoint m_avoidedUntil;
 };
--- a/lib/steering/PlacementTest.cpp
+++ b/lib/steering/PlacementTest.cpp
@@ -40,7 +40,9 @@
     int local = 0;
     for (uint16_t flow = 0; flow < 200; ++flow) {
       fixture.wait(Millis{ 15 });
-      local += fixture.upstream(fixture.open(flow)).m_isLocal ? 1 : 0;
+      const Token token = fixture.open(flow);
+      fixture.goOn(flow, token);
+      local += fixture.upstream(token).m_isLocal ? 1 : 0;
     }
     return local;
   };
--- a/lib/steering/SilenceTest.cpp
+++ b/lib/steering/SilenceTest.cpp
@@ -1,6 +1,7 @@
 // Silent, slow and crashed upstreams, as callers' packets show them.
 #include "steering/SteeringFixture.h"
 
+#include <map>
 #include <random>
 
 using namespace tamarack;
@@ -182,6 +183,51 @@
   CHECK(fixture.m_steering.giveUp(fixture.m_now).empty());
 }
 
+TEST_CASE("an upstream that refuses callers directly gets no more new flows than the others")
+{
+  // Incident inc-fe2b: upstreams crash on machines that run on while the store is silent. Callers
+  // are refused at once and come back with new flows; every other flow is answered after 50 ms.
+  Fixture fixture;
+  for (uint64_t identity = 1; identity <= 14; ++identity) {
+    fixture.addUpstream(Fixture::record(identity));
+  }
+  const Token refusing = makeToken(1, 1000);
+  std::map<uint32_t, int> flows;
+  for (uint16_t flow = 1; flow <= 260; ++flow) {
+    const Token token = fixture.open(flow);
+    ++flows[token.m_value];
+    if (token != refusing) {
+      fixture.decide(fixture.request(flow, token));
+    }
+    fixture.wait(Millis{ 10 });
+    if (token != refusing) {
+      fixture.acknowledge(flow, token);
+    }
+  }
+  int most = 0;
+  for (const auto& [token, count] : flows) {
+    most = token == refusing.m_value ? most : std::max(most, count);
+  }
+  CHECK(flows[refusing.m_value] <= most / 2);
+}
+
+TEST_CASE("new flows whose callers go on late do not make an upstream silent")
+{
+  // A burst: twenty flows are opened before the first caller answers the handshake.
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  for (uint16_t round = 0; round < 10; ++round) {
+    for (uint16_t flow = 1; flow <= 20; ++flow) {
+      fixture.open(static_cast<uint16_t>(round * 100 + flow));
+      fixture.wait(Millis{ 4 });
+    }
+    fixture.decide(fixture.request(static_cast<uint16_t>(round * 100 + 1), token));
+    fixture.wait(Millis{ 30 });
+    CHECK_FALSE(fixture.upstream(token).m_health.isAvoided(fixture.m_now));
+  }
+}
+
 TEST_CASE("an upstream that did not answer gets one flow at a time until it does")
 {
   Fixture fixture;
--- a/lib/steering/SteeringFixture.h
+++ b/lib/steering/SteeringFixture.h
@@ -99,6 +99,14 @@
              .m_token = aToken };
   }
 
+  /// The caller ends the handshake of a new flow.
+  void goOn(uint16_t aCallerPort, Token aToken)
+  {
+    FlowPacket packet = request(aCallerPort, aToken);
+    packet.m_length = 0;
+    CHECK(decide(packet).m_action == Action::Forward);
+  }
+
   /// The caller has got the answer to its request.
   void acknowledge(uint16_t aCallerPort, Token aToken)
   {
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -196,7 +196,9 @@
     FlowState(aNow, aPacket.m_flow, chosen->m_token, aPacket.m_sequence);
   chosen->m_requests.add(aNow);
   chosen->m_flows.add(aNow);
-  chosen->m_health.onTried(aNow);
+  if (chosen->m_health.onTried(aNow)) {
+    record(aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = chosen->m_token });
+  }
   const bool isAgain = aPacket.m_copy > 0;
   ++(isAgain ? m_counters.m_openedAgain : m_counters.m_opened);
   record(aNow,
