[dissemination] Hosts of a large fleet find each other: own data centre whole, contacts elsewhere

At the start, 295 hosts greeted three seeds, which answered 10 a second and named hosts at random, so nearly all read for 11 s; two readers of one data centre met by way of a seed every 10 s. Answers name readers and the best hosts with their room, so that all hosts of a data centre turn to the same few; seeds are greeted in turn; named hosts are greeted at once; hosts that hear two readers name both. A new reader's first watch ends at once. Regular statuses no longer take sightings away from a push.

--- a/lib/dissemination/DisseminationTest.cpp
+++ b/lib/dissemination/DisseminationTest.cpp
@@ -104,21 +104,23 @@
 private:
   void deliver(HostId aFrom, HostId aTo)
   {
-    const bool names = m_hosts[aFrom]->isNamingDue();
-    if (send(aFrom, aTo, names)) {
-      send(aTo, aFrom, true);
+    Peers& sender = *m_hosts[aFrom];
+    Status status = sender.makeStatus(m_now, kRevision);
+    if (sender.isNamingDue()) {
+      sender.nameNeighbours(m_now, status);
+    }
+    if (send(aFrom, aTo, status)) {
+      Peers& receiver = *m_hosts[aTo];
+      Status answer = receiver.makeStatus(m_now, kRevision);
+      receiver.nameHosts(m_now, status.m_dataCentre, answer);
+      send(aTo, aFrom, answer);
     }
   }
 
   /// Returns whether the receiver answers.
-  bool send(HostId aFrom, HostId aTo, bool aNamesHosts)
+  bool send(HostId aFrom, HostId aTo, const Status& aStatus)
   {
-    Peers& sender = *m_hosts[aFrom];
-    Status status = sender.makeStatus(m_now, kRevision);
-    if (aNamesHosts) {
-      sender.nameHosts(m_now, status.m_dataCentre, status);
-    }
-    const auto bytes = encodeStatus(status);
+    const auto bytes = encodeStatus(aStatus);
     m_bytes[aFrom] += bytes.size() + kDatagramOverhead;
     const auto to = m_hosts.find(aTo);
     if (to == m_hosts.end() || m_dead.contains(aTo)) {
@@ -185,13 +187,14 @@
 {
   for (const bool isReader : { false, true }) {
     for (const bool isLeaving : { false, true }) {
-      const auto status = decodeStatus(
-        encodeStatus({ .m_sender = HostId{ 3 },
-                       .m_dataCentre = "near",
-                       .m_isReader = isReader,
-                       .m_isLeaving = isLeaving,
-                       .m_isAsking = isReader != isLeaving,
-                       .m_known = { { HostId{ 4 }, "far" }, { HostId{ 5 }, "near" } } }));
+      const auto status =
+        decodeStatus(encodeStatus({ .m_sender = HostId{ 3 },
+                                    .m_dataCentre = "near",
+                                    .m_isReader = isReader,
+                                    .m_isLeaving = isLeaving,
+                                    .m_isAsking = isReader != isLeaving,
+                                    .m_known = { { HostId{ 4 }, "far", 500, isReader },
+                                                 { HostId{ 5 }, "near", 38, isLeaving } } }));
       REQUIRE(status.ok());
       CHECK(status->m_isReader == isReader);
       CHECK(status->m_isLeaving == isLeaving);
@@ -199,8 +202,12 @@
       REQUIRE(status->m_known.size() == 2);
       CHECK(status->m_known[0].m_host == HostId{ 4 });
       CHECK(status->m_known[0].m_dataCentre == "far");
+      CHECK(status->m_known[0].m_capacity == 500);
+      CHECK(status->m_known[0].m_isReader == isReader);
       CHECK(status->m_known[1].m_host == HostId{ 5 });
       CHECK(status->m_known[1].m_dataCentre == "near");
+      CHECK(status->m_known[1].m_capacity == 38);
+      CHECK(status->m_known[1].m_isReader == isLeaving);
     }
   }
 }
--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -11,36 +11,23 @@
 
 /// Two answers to one peer are at least this far apart.
 constexpr Millis kAnswerInterval{ 200 };
-
-/// The order in which hosts are preferred as readers: those with more room first.
-bool
-ranksBefore(uint32_t aLeftCapacity, HostId aLeft, uint32_t aRightCapacity, HostId aRight)
-{
-  if (aLeftCapacity != aRightCapacity) {
-    return aLeftCapacity > aRightCapacity;
-  }
-  return mixHash(aLeft.m_value, 0) < mixHash(aRight.m_value, 0);
-}
+/// A newcomer's greetings of seeds get rarer by one interval each, up to this many.
+constexpr int kMostNewcomerSteps = 4;
 
 } // namespace
 
 Peers::Peers(PeersOptions aOptions)
   : m_options(std::move(aOptions))
+  , m_peers(m_options.m_self, m_options.m_dataCentre)
   , m_random(static_cast<uint32_t>(mixHash(m_options.m_self.m_value, m_options.m_incarnation)))
+  , m_nextSeed(m_random())
 {
 }
 
-bool
-Peers::isLive(TimePoint aNow, const Peer& aPeer) const
-{
-  const Millis silence = aPeer.m_isReader ? kSilenceOfReader : kSilenceOfListener;
-  return aPeer.m_heardAt != TimePoint{} && aNow - aPeer.m_heardAt <= silence;
-}
-
 bool
 Peers::isFreshReader(TimePoint aNow, const Peer& aPeer) const
 {
-  return aPeer.m_isReader && aPeer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, aPeer) &&
+  return aPeer.m_isReader && m_peers.isNeighbour(aPeer) && aPeer.isLive(aNow) &&
          aPeer.m_confirmedAt != TimePoint{} && aNow - aPeer.m_confirmedAt <= kFreshAge;
 }
 
@@ -58,8 +45,10 @@
       return true;
     }
   }
+  const bool isLonely = !m_hasHeardNeighbour && hasSeeds();
+  const Millis startWait = isLonely ? kLonelyWait : kDiscoveryWait;
   if (m_unsettledSince == TimePoint{} || aNow - m_unsettledSince < kElectionWait ||
-      aNow - m_startedAt < kDiscoveryWait) {
+      aNow - m_startedAt < startWait) {
     return false;
   }
   const auto best = nominees(aNow);
@@ -79,7 +68,7 @@
     candidates.push_back({ m_options.m_capacity, m_options.m_self });
   }
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer) && !peer.m_isLeaving) {
+    if (m_peers.isNeighbour(peer) && peer.isLive(aNow) && !peer.m_isLeaving) {
       candidates.push_back({ peer.m_capacity, host });
     }
   }
@@ -117,21 +106,26 @@
   size_t known = 1;
   size_t heard = 1;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_dataCentre != m_options.m_dataCentre || peer.m_heardAt == TimePoint{} ||
-        peer.m_isLeaving) {
+    if (!m_peers.isNeighbour(peer) || !peer.wasHeard() || peer.m_isLeaving) {
       continue;
     }
     ++known;
-    heard += isLive(aNow, peer) ? 1 : 0;
+    heard += peer.isLive(aNow) ? 1 : 0;
   }
   if (known == 1) {
     // A host that never heard another one cannot tell a cut from an empty data centre.
-    return std::ranges::all_of(m_options.m_seeds,
-                               [this](HostId aSeed) { return aSeed == m_options.m_self; });
+    return !hasSeeds();
   }
   return 2 * heard >= known;
 }
 
+bool
+Peers::hasSeeds() const
+{
+  return std::ranges::any_of(m_options.m_seeds,
+                             [this](HostId aSeed) { return aSeed != m_options.m_self; });
+}
+
 size_t
 Peers::freshReaders(TimePoint aNow) const
 {
@@ -142,21 +136,26 @@
 }
 
 void
-Peers::meet(HostId aHost, const std::string& aDataCentre)
+Peers::learn(TimePoint aNow, const KnownHost& aHost)
 {
-  if (aHost == m_options.m_self || !aHost || m_peers.contains(aHost)) {
+  Peer* const peer =
+    m_peers.remember(aNow,
+                     aHost.m_host,
+                     { .m_dataCentre = aHost.m_dataCentre, .m_capacity = aHost.m_capacity },
+                     false);
+  if (peer == nullptr) {
     return;
   }
-  if (m_peers.size() >= kMostPeers) {
-    // A host that was never heard makes room.
-    const auto stranger = std::ranges::find_if(
-      m_peers, [](const auto& aEntry) { return aEntry.second.m_heardAt == TimePoint{}; });
-    if (stranger == m_peers.end()) {
-      return;
-    }
-    m_peers.erase(stranger);
+  peer->m_namedAt = aNow;
+  if (!m_peers.isNeighbour(*peer) || peer->isLive(aNow)) {
+    return;
+  }
+  peer->m_capacity = aHost.m_capacity;
+  // A host that lost its reader looks for the best of its neighbours, and readers find each other.
+  if (aHost.m_isReader || isElecting(aNow)) {
+    peer->m_isGreetingDue = true;
+    m_isGreetingDue = true;
   }
-  m_peers.emplace(aHost, Peer{ .m_dataCentre = aDataCentre });
 }
 
 Reaction
@@ -166,31 +165,32 @@
     return {};
   }
   for (const KnownHost& host : aStatus.m_known) {
-    meet(host.m_host, host.m_dataCentre);
-  }
-  meet(aStatus.m_sender, aStatus.m_dataCentre);
-  const auto found = m_peers.find(aStatus.m_sender);
-  if (found == m_peers.end()) {
-    return {};
+    learn(aNow, host);
   }
-  Peer& peer = found->second;
-  const bool isNew = !isLive(aNow, peer) || peer.m_incarnation != aStatus.m_incarnation;
-  peer.m_dataCentre = aStatus.m_dataCentre;
+  Peer passing{ .m_dataCentre = aStatus.m_dataCentre,
+                .m_capacity = aStatus.m_capacity,
+                .m_isReader = aStatus.m_isReader && !aStatus.m_isLeaving };
+  Peer* const remembered = m_peers.remember(aNow, aStatus.m_sender, passing, true);
+  // A host that there is no room for is answered like any other.
+  Peer& peer = remembered == nullptr ? passing : *remembered;
+  const bool isNew = !peer.isLive(aNow) || peer.m_incarnation != aStatus.m_incarnation;
   peer.m_incarnation = aStatus.m_incarnation;
   peer.m_capacity = aStatus.m_capacity;
   peer.m_isReader = aStatus.m_isReader && !aStatus.m_isLeaving;
   peer.m_isLeaving = aStatus.m_isLeaving;
+  peer.m_isGreetingDue = false;
   peer.m_nominatesSelf =
     std::ranges::find(aStatus.m_nominees, m_options.m_self) != aStatus.m_nominees.end();
   peer.m_heardAt = aNow;
   peer.m_revision = aStatus.m_revision;
   peer.m_confirmedAt =
     aStatus.m_ageMs < 0 ? TimePoint{} : aNow - Millis{ std::max<int64_t>(0, aStatus.m_ageMs) };
+  m_hasHeardNeighbour = m_hasHeardNeighbour || m_peers.isNeighbour(peer);
   confirmThrough(peer);
   Reaction reaction{ .m_isPullDue = aStatus.m_revision > aOwnRevision };
   const bool isBehind = aStatus.m_revision < aOwnRevision;
   if ((isNew || isBehind || aStatus.m_isAsking) && aNow - peer.m_answeredAt >= kAnswerInterval &&
-      m_answers.take(aNow)) {
+      (peer.m_isReader ? m_answersToReaders : m_answers).take(aNow)) {
     peer.m_answeredAt = aNow;
     reaction.m_isAnswerDue = true;
   }
@@ -229,12 +229,12 @@
   if (m_startedAt == TimePoint{}) {
     m_startedAt = aNow;
   }
-  forgetSilent(aNow);
+  m_peers.forgetSilent(aNow);
   if (m_isReader || freshReaders(aNow) >= kReadersPerDataCentre) {
     m_unsettledSince = {};
   } else if (m_unsettledSince == TimePoint{}) {
     m_unsettledSince = aNow;
-    m_isAnnouncementDue = true;
+    m_isElectionDue = true;
   }
   if (m_isLeaving) {
     m_isReader = false;
@@ -259,61 +259,140 @@
   const Millis age = aNow - std::max(m_confirmedAt, m_startedAt);
   m_isReader = isElected(aNow) || age > kOwnReadingAge + kElectionPatience + kDelayStep * step;
   m_isAnnouncementDue = m_isAnnouncementDue || m_isReader;
+  m_readingSince = m_isReader ? aNow : m_readingSince;
   return m_isReader;
 }
 
+std::vector<HostId>
+Peers::electors(TimePoint aNow) const
+{
+  std::vector<std::pair<uint32_t, HostId>> ranked;
+  for (const auto& [host, peer] : m_peers) {
+    if (m_peers.isNeighbour(peer) && !peer.m_isLeaving && !peer.isQuiet(aNow)) {
+      ranked.emplace_back(peer.m_capacity, host);
+    }
+  }
+  const size_t count = std::min(kElectors, ranked.size());
+  std::ranges::partial_sort(
+    ranked, ranked.begin() + static_cast<long>(count), [](const auto& aLeft, const auto& aRight) {
+      return ranksBefore(aLeft.first, aLeft.second, aRight.first, aRight.second);
+    });
+  std::vector<HostId> best;
+  for (size_t index = 0; index < count; ++index) {
+    best.push_back(ranked[index].second);
+  }
+  return best;
+}
+
 void
-Peers::forgetSilent(TimePoint aNow)
+Peers::addGreetings(TimePoint aNow, std::vector<HostId>& aTargets)
 {
-  for (auto entry = m_peers.begin(); entry != m_peers.end();) {
-    const bool wasHeard = entry->second.m_heardAt != TimePoint{};
-    if (wasHeard && aNow - entry->second.m_heardAt > kForgetPeer) {
-      m_peers.erase(entry++);
-    } else {
-      ++entry;
+  if (!std::exchange(m_isGreetingDue, false)) {
+    return;
+  }
+  const bool settled = isSettled(aNow);
+  std::vector<std::pair<uint32_t, HostId>> due;
+  for (auto& [host, peer] : m_peers) {
+    if (peer.m_isGreetingDue && settled && !servesOthers(aNow)) {
+      // A listener that hears its reader needs nobody else.
+      peer.m_isGreetingDue = false;
+    } else if (peer.m_isGreetingDue) {
+      due.emplace_back(peer.m_capacity, host);
     }
   }
+  std::ranges::sort(due, [](const auto& aLeft, const auto& aRight) {
+    return ranksBefore(aLeft.first, aLeft.second, aRight.first, aRight.second);
+  });
+  for (size_t index = 0; index < std::min(due.size(), kMostGreetings); ++index) {
+    m_peers.find(due[index].second)->m_isGreetingDue = false;
+    aTargets.push_back(due[index].second);
+  }
+  m_isGreetingDue = due.size() > kMostGreetings;
 }
 
-std::vector<HostId>
-Peers::dueTargets(TimePoint aNow)
+bool
+Peers::isElectionDue(TimePoint aNow) const
+{
+  if (m_isElectionDue) {
+    return true;
+  }
+  const bool isRepeated = aNow - m_lastElectionAt >= kElectionInterval;
+  return isElecting(aNow) || (!isSettled(aNow) && isRepeated);
+}
+
+void
+Peers::addRegular(TimePoint aNow, std::vector<HostId>& aTargets)
 {
-  std::vector<HostId> targets;
   const bool serves = servesOthers(aNow);
-  const bool isSettled = serves || freshReaders(aNow) >= kReadersPerDataCentre;
+  const bool settled = isSettled(aNow);
   const bool isStale = aNow - m_confirmedAt > kOwnReadingAge;
-  const Millis ownInterval = isSettled && !serves ? kListenerInterval : kStatusInterval;
-  const bool isDue = m_lastStatusAt == TimePoint{} || aNow - m_lastStatusAt >= ownInterval;
-  if (!isDue && !m_isAnnouncementDue) {
-    return targets;
-  }
-  m_lastStatusAt = aNow;
   std::vector<HostId> others;
   for (const auto& [host, peer] : m_peers) {
-    const bool isNeighbour = peer.m_dataCentre == m_options.m_dataCentre;
-    const bool wasHeard = peer.m_heardAt != TimePoint{};
-    if (isNeighbour && (m_isAnnouncementDue || (wasHeard && (serves || peer.m_isReader)))) {
-      targets.push_back(host);
-    } else if (isStale || (isNeighbour && (!wasHeard || !isSettled))) {
+    const bool isNeighbour = m_peers.isNeighbour(peer);
+    if (isNeighbour && (m_isAnnouncementDue || (peer.wasHeard() && (serves || peer.m_isReader)))) {
+      aTargets.push_back(host);
+    } else if (isStale || (isNeighbour && (!peer.wasHeard() || !settled))) {
       others.push_back(host);
     }
   }
   m_isAnnouncementDue = false;
-  // Neighbours that are only known from others are greeted, all neighbours while there is no
-  // reader, and any host when nothing confirms the records of this one.
+  if (isElectionDue(aNow)) {
+    m_isElectionDue = false;
+    m_lastElectionAt = aNow;
+    std::ranges::copy(electors(aNow), std::back_inserter(aTargets));
+  }
+  // Neighbours that are only known from others are greeted, random ones beside the best while there
+  // is no reader, and any host when nothing confirms the records of this one.
+  std::ranges::sort(others);
   std::ranges::shuffle(others, m_random);
-  const size_t greetings = isSettled && !isStale ? (serves ? 1 : 0) : kMostGreetings;
+  const size_t greetings = settled && !isStale ? (serves ? 1 : 0) : kMostGreetings;
   others.resize(std::min(others.size(), greetings));
-  targets.insert(targets.end(), others.begin(), others.end());
-  const Millis interval = isSettled && !isStale ? kSeedIntervalWhenSettled : kSeedInterval;
-  if (m_lastSeedAt == TimePoint{} || aNow - m_lastSeedAt >= interval) {
-    m_lastSeedAt = aNow;
-    for (const HostId seed : m_options.m_seeds) {
-      if (seed != m_options.m_self && std::ranges::find(targets, seed) == targets.end()) {
-        targets.push_back(seed);
-      }
-    }
+  std::ranges::copy(others, std::back_inserter(aTargets));
+}
+
+void
+Peers::addSeed(TimePoint aNow, std::vector<HostId>& aTargets)
+{
+  const auto& seeds = m_options.m_seeds;
+  Millis interval = kSeedIntervalWhenSettled;
+  if (!m_hasHeardNeighbour && aNow - m_startedAt < kLonelyWait) {
+    interval = kSeedIntervalOfNewcomer;
+    // A seed that many hosts ask at once has no time for all of them.
+    interval *= std::clamp(m_seedGreetings, 1, kMostNewcomerSteps);
+  } else if (isElecting(aNow) || (m_isReader && aNow - m_readingSince < kElectionLength)) {
+    interval = kSeedInterval;
+  } else if (servesOthers(aNow)) {
+    interval = kSeedIntervalOfReader;
+  } else if (aNow - m_confirmedAt > kOwnReadingAge) {
+    interval = kSeedIntervalWhenStale;
+  }
+  if (seeds.empty() || (m_lastSeedAt != TimePoint{} && aNow - m_lastSeedAt < interval)) {
+    return;
+  }
+  m_lastSeedAt = aNow;
+  ++m_seedGreetings;
+  const HostId seed = seeds[m_nextSeed++ % seeds.size()];
+  if (seed != m_options.m_self) {
+    aTargets.push_back(seed);
+  }
+}
+
+std::vector<HostId>
+Peers::dueTargets(TimePoint aNow)
+{
+  std::vector<HostId> targets;
+  addGreetings(aNow, targets);
+  const Millis interval =
+    isSettled(aNow) && !servesOthers(aNow) ? kListenerInterval : kStatusInterval;
+  const bool isDue = m_lastStatusAt == TimePoint{} || aNow - m_lastStatusAt >= interval;
+  if (isDue || m_isAnnouncementDue || m_isElectionDue) {
+    m_lastStatusAt = aNow;
+    addRegular(aNow, targets);
   }
+  addSeed(aNow, targets);
+  std::ranges::sort(targets);
+  const auto repeated = std::ranges::unique(targets);
+  targets.erase(repeated.begin(), repeated.end());
   return targets;
 }
 
@@ -329,7 +408,7 @@
 {
   std::vector<HostId> hosts;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer)) {
+    if (m_peers.isNeighbour(peer) && peer.isLive(aNow)) {
       hosts.push_back(host);
     }
   }
@@ -341,7 +420,7 @@
 {
   std::vector<HostId> hosts;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_isReader && peer.m_dataCentre == m_options.m_dataCentre && isLive(aNow, peer)) {
+    if (peer.m_isReader && m_peers.isNeighbour(peer) && peer.isLive(aNow)) {
       hosts.push_back(host);
     }
   }
@@ -351,6 +430,15 @@
 Status
 Peers::makeStatus(TimePoint aNow, registry::Revision aRevision)
 {
+  // Two readers of one data centre learn of each other from the hosts that hear both.
+  std::vector<KnownHost> readers;
+  if (freshReaders(aNow) > kReadersPerDataCentre) {
+    for (const auto& [host, peer] : m_peers) {
+      if (isFreshReader(aNow, peer) && readers.size() < kKnownPerAnswer) {
+        readers.push_back({ host, peer.m_dataCentre, peer.m_capacity, true });
+      }
+    }
+  }
   return { .m_sender = m_options.m_self,
            .m_dataCentre = m_options.m_dataCentre,
            .m_incarnation = m_options.m_incarnation,
@@ -360,27 +448,58 @@
            .m_isAsking = aNow - m_confirmedAt > kOwnReadingAge,
            .m_revision = aRevision,
            .m_ageMs = m_confirmedAt == TimePoint{} ? -1 : (aNow - m_confirmedAt).count(),
-           .m_known = {},
+           .m_known = std::move(readers),
            .m_nominees = servesOthers(aNow) ? nominees(aNow) : std::vector<HostId>{},
            .m_sightings = {},
            .m_difference = {} };
 }
 
-void
-Peers::nameHosts(TimePoint aNow, std::string_view aDataCentre, Status& aStatus)
+std::vector<KnownHost>
+Peers::heardHosts(TimePoint aNow, std::string_view aDataCentre, size_t aMost, size_t aRandom)
 {
   std::vector<KnownHost> heard;
   for (const auto& [host, peer] : m_peers) {
-    if (peer.m_heardAt != TimePoint{} && aNow - peer.m_heardAt <= kForgetPeer) {
-      heard.push_back({ host, peer.m_dataCentre });
+    if (peer.wasHeard() && !peer.m_isLeaving) {
+      heard.push_back(
+        { host, peer.m_dataCentre, peer.m_capacity, peer.m_isReader && !peer.isQuiet(aNow) });
     }
   }
-  std::ranges::shuffle(heard, m_random);
-  std::stable_partition(heard.begin(), heard.end(), [&](const KnownHost& aHost) {
-    return aHost.m_dataCentre == aDataCentre;
+  const auto isPreferred = [&](const KnownHost& aLeft, const KnownHost& aRight) {
+    const bool isLeftNear = aLeft.m_dataCentre == aDataCentre;
+    const bool isRightNear = aRight.m_dataCentre == aDataCentre;
+    if (isLeftNear != isRightNear) {
+      return isLeftNear;
+    }
+    if (aLeft.m_isReader != aRight.m_isReader) {
+      return aLeft.m_isReader;
+    }
+    return ranksBefore(aLeft.m_capacity, aLeft.m_host, aRight.m_capacity, aRight.m_host);
+  };
+  std::ranges::sort(heard, isPreferred);
+  const size_t best = aMost - aRandom;
+  if (heard.size() > best) {
+    const auto rest = heard.begin() + static_cast<long>(best);
+    std::shuffle(rest, heard.end(), m_random);
+    std::stable_partition(
+      rest, heard.end(), [&](const KnownHost& aHost) { return aHost.m_dataCentre == aDataCentre; });
+    heard.resize(std::min(heard.size(), aMost));
+  }
+  return heard;
+}
+
+void
+Peers::nameHosts(TimePoint aNow, std::string_view aDataCentre, Status& aStatus)
+{
+  aStatus.m_known = heardHosts(aNow, aDataCentre, kKnownPerAnswer, kRandomPerAnswer);
+}
+
+void
+Peers::nameNeighbours(TimePoint aNow, Status& aStatus)
+{
+  aStatus.m_known = heardHosts(aNow, m_options.m_dataCentre, kKnownPerRegular, kRandomPerRegular);
+  std::erase_if(aStatus.m_known, [this](const KnownHost& aHost) {
+    return aHost.m_dataCentre != m_options.m_dataCentre;
   });
-  heard.resize(std::min(heard.size(), kKnownPerStatus));
-  aStatus.m_known = std::move(heard);
 }
 
 } // namespace tamarack::dissemination
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -8,9 +8,9 @@
 #pragma once
 
 #include "base/RateLimit.h"
+#include "dissemination/PeerTable.h"
 #include "dissemination/Status.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <optional>
 #include <random>
 #include <span>
@@ -23,11 +23,6 @@
 /// needs to know that it is there.
 inline constexpr Millis kStatusInterval{ 500 };
 inline constexpr Millis kListenerInterval{ 1000 };
-/// A host that was silent for this long is no longer counted on: two of its messages may be lost.
-inline constexpr Millis kSilenceOfReader{ 1300 };
-inline constexpr Millis kSilenceOfListener{ 2600 };
-/// A host that was silent for this long is forgotten.
-inline constexpr Millis kForgetPeer{ 15'000 };
 /// A reader whose records were confirmed this long ago does not count as one.
 inline constexpr Millis kFreshAge{ 1900 };
 /// A host reads the store itself when nothing confirmed its records for this long. A watch takes
@@ -40,27 +35,45 @@
 /// A data centre without a reader: hosts tell each other of themselves for this long, and the best
 /// of them reads.
 inline constexpr Millis kElectionWait{ 250 };
-/// A host that has just started must first hear of the others.
+/// A host that has just started must first hear of the others, and waits for longer while it hears
+/// none of its data centre.
 inline constexpr Millis kDiscoveryWait{ 800 };
+inline constexpr Millis kLonelyWait{ 1500 };
 /// After the election, each reads for itself.
 inline constexpr Millis kElectionPatience{ 300 };
 /// A reader stops only after others have been enough for this long.
 inline constexpr Millis kReaderHold{ 400 };
-/// Seeds are greeted this often while too few hosts are known, and rarely after.
-inline constexpr Millis kSeedInterval{ 1000 };
+/// Seeds are greeted in turn: this often by a host that has heard nobody, that has just lost its
+/// reader or become one, that reads for others (so that seeds can name it, and tell it of a better
+/// reader), whose records nothing confirms, and by the others.
+inline constexpr Millis kSeedIntervalOfNewcomer{ 100 };
+inline constexpr Millis kSeedInterval{ 500 };
+inline constexpr Millis kSeedIntervalOfReader{ 2000 };
+inline constexpr Millis kSeedIntervalWhenStale{ 4000 };
 inline constexpr Millis kSeedIntervalWhenSettled{ 10'000 };
-/// Hosts that an answer to a new host names besides its sender.
-inline constexpr size_t kKnownPerStatus = 8;
+/// Hosts that an answer names besides its sender: readers, the best others, and random ones, in
+/// case the best are gone.
+inline constexpr size_t kKnownPerAnswer = 8;
+inline constexpr size_t kRandomPerAnswer = 2;
+/// One regular message in so many names hosts, too, and so many.
+inline constexpr uint64_t kKnownShare = 8;
+inline constexpr size_t kKnownPerRegular = 5;
+inline constexpr size_t kRandomPerRegular = 1;
 /// Hosts that a host greets at a time while its data centre has no reader, or that it asks while
 /// nothing confirms its records. A store that is down makes all hosts ask at once.
 inline constexpr size_t kMostGreetings = 4;
-/// Answers that a host gives in a second, and at once after a quiet time.
-inline constexpr double kAnswersPerSecond = 10;
-inline constexpr double kAnswerBurst = 40;
-/// One regular message in so many names hosts, too.
-inline constexpr uint64_t kKnownShare = 8;
-/// Hosts that are remembered; a data centre of the design size has 61.
-inline constexpr size_t kMostPeers = 256;
+/// Hosts without a reader tell so many of the best others, one of which follows it: at once, a few
+/// times while the election lasts, and rarely after, for then nobody reaches the store.
+inline constexpr size_t kElectors = 8;
+inline constexpr Millis kElectionLength{ 2000 };
+inline constexpr Millis kElectionInterval{ 2000 };
+/// Answers that a host gives in a second, and at once after a quiet time. A seed of the design size
+/// is greeted by 370 hosts when all start.
+inline constexpr double kAnswersPerSecond = 100;
+inline constexpr double kAnswerBurst = 400;
+/// Readers find each other while all other hosts ask, too.
+inline constexpr double kAnswersToReadersPerSecond = 20;
+inline constexpr double kAnswerToReadersBurst = 100;
 
 struct PeersOptions
 {
@@ -106,17 +119,24 @@
   void setLeaving() { m_isLeaving = true; }
   void setSeeds(std::vector<HostId> aSeeds) { m_options.m_seeds = std::move(aSeeds); }
 
+  /// Whether there is a host besides this one to begin with.
+  [[nodiscard]] bool hasSeeds() const;
+
   /// When all changes up to this host's revision were last confirmed; the epoch before.
   [[nodiscard]] TimePoint confirmedAt() const { return m_confirmedAt; }
 
-  /// Whom to send a status now, and whether it is one of the regular ones.
+  /// Whom to send a status now.
   [[nodiscard]] std::vector<HostId> dueTargets(TimePoint aNow);
+  /// Whether another host has just named one that this one looks for.
+  [[nodiscard]] bool isGreetingDue() const { return m_isGreetingDue; }
   /// Whom to send what just changed: everybody, if this is the best reader, and nobody otherwise.
   [[nodiscard]] std::vector<HostId> listeners(TimePoint aNow) const;
   /// A status of this host; sightings and a difference are up to the caller.
   [[nodiscard]] Status makeStatus(TimePoint aNow, registry::Revision aRevision);
-  /// Adds hosts that this one hears to a status, those of a data centre first.
+  /// Adds hosts that this one hears to an answer, those of the asker's data centre first.
   void nameHosts(TimePoint aNow, std::string_view aDataCentre, Status& aStatus);
+  /// Adds a few neighbours to a regular status.
+  void nameNeighbours(TimePoint aNow, Status& aStatus);
   /// Whether a regular status shall name other hosts.
   [[nodiscard]] bool isNamingDue() { return m_statuses++ % kKnownShare == 0; }
 
@@ -128,25 +148,18 @@
   [[nodiscard]] size_t size() const { return m_peers.size(); }
 
 private:
-  struct Peer
+  /// Takes note of a host that another one named.
+  void learn(TimePoint aNow, const KnownHost& aHost);
+  [[nodiscard]] bool isSettled(TimePoint aNow) const
   {
-    std::string m_dataCentre;
-    uint32_t m_incarnation{};
-    uint32_t m_capacity{};
-    bool m_isReader{};
-    /// It still wants to know what is new, but nobody counts on it.
-    bool m_isLeaving{};
-    /// The epoch when it is only known from others.
-    TimePoint m_heardAt;
-    /// When the store confirmed its records; the epoch before.
-    TimePoint m_confirmedAt;
-    registry::Revision m_revision{};
-    TimePoint m_answeredAt;
-    /// Of a reader: it named this host as one that should read.
-    bool m_nominatesSelf{};
-  };
-
-  [[nodiscard]] bool isLive(TimePoint aNow, const Peer& aPeer) const;
+    return servesOthers(aNow) || freshReaders(aNow) >= kReadersPerDataCentre;
+  }
+  /// Whether this host has no reader since a short while ago.
+  [[nodiscard]] bool isElecting(TimePoint aNow) const
+  {
+    return !isSettled(aNow) && m_unsettledSince != TimePoint{} &&
+           aNow - m_unsettledSince < kElectionLength;
+  }
   /// Readers that are preferred to this host.
   [[nodiscard]] size_t betterReaders(TimePoint aNow) const;
   /// Whether this host hears at least half of the hosts of its data centre, itself among them.
@@ -157,19 +170,35 @@
   /// Whether this host should begin to read for others.
   [[nodiscard]] bool isElected(TimePoint aNow) const;
   [[nodiscard]] std::vector<HostId> nominees(TimePoint aNow) const;
-  void meet(HostId aHost, const std::string& aDataCentre);
-  void forgetSilent(TimePoint aNow);
+  /// Live hosts of a data centre and then others: the best, and the last ones at random.
+  [[nodiscard]] std::vector<KnownHost> heardHosts(TimePoint aNow,
+                                                  std::string_view aDataCentre,
+                                                  size_t aMost,
+                                                  size_t aRandom);
   void confirmThrough(const Peer& aPeer);
+  /// Neighbours that may read, the best first.
+  [[nodiscard]] std::vector<HostId> electors(TimePoint aNow) const;
+  void addGreetings(TimePoint aNow, std::vector<HostId>& aTargets);
+  [[nodiscard]] bool isElectionDue(TimePoint aNow) const;
+  void addRegular(TimePoint aNow, std::vector<HostId>& aTargets);
+  void addSeed(TimePoint aNow, std::vector<HostId>& aTargets);
 
   PeersOptions m_options;
-  absl::flat_hash_map<HostId, Peer> m_peers;
+  PeerTable m_peers;
   std::minstd_rand m_random;
   bool m_isReader{};
   bool m_isLeaving{};
+  TimePoint m_readingSince;
   /// When enough better readers were first seen; the epoch when there are not enough.
   TimePoint m_dispensableSince;
+  TimePoint m_lastElectionAt;
   /// Everybody known is told once that this host reads now.
   bool m_isAnnouncementDue{};
+  /// The best others are told once that this host has no reader.
+  bool m_isElectionDue{};
+  /// A host that was named is greeted before the next regular message.
+  bool m_isGreetingDue{};
+  bool m_hasHeardNeighbour{};
   TimePoint m_startedAt;
   /// When no reader was left; the epoch while there is one.
   TimePoint m_unsettledSince;
@@ -177,8 +206,12 @@
   registry::Revision m_revision{};
   TimePoint m_lastStatusAt;
   TimePoint m_lastSeedAt;
+  /// Which seed is greeted next.
+  size_t m_nextSeed{};
+  int m_seedGreetings{};
   uint64_t m_statuses{};
   RateLimit m_answers{ kAnswersPerSecond, kAnswerBurst };
+  RateLimit m_answersToReaders{ kAnswersToReadersPerSecond, kAnswerToReadersBurst };
 };
 
 } // namespace tamarack::dissemination
--- a/lib/dissemination/Status.cpp
+++ b/lib/dissemination/Status.cpp
@@ -9,7 +9,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int kVersion = 3;
+constexpr int kVersion = 4;
 /// Bits of the field that holds what is either so or not.
 constexpr uint8_t kIsReader = 1;
 constexpr uint8_t kIsLeaving = 2;
@@ -23,9 +23,11 @@
   Json known = Json::array();
   for (const KnownHost& host : aStatus.m_known) {
     // Most are of the sender's data centre, whose name stands in the status already.
-    known.push_back(host.m_dataCentre == aStatus.m_dataCentre
-                      ? Json(host.m_host.m_value)
-                      : Json::array({ host.m_host.m_value, host.m_dataCentre }));
+    known.push_back(host.m_host.m_value);
+    known.push_back(2 * uint64_t{ host.m_capacity } + (host.m_isReader ? 1 : 0));
+    if (host.m_dataCentre != aStatus.m_dataCentre) {
+      known.push_back(host.m_dataCentre);
+    }
   }
   Json nominees = Json::array();
   for (const HostId nominee : aStatus.m_nominees) {
@@ -74,11 +76,16 @@
                    .m_nominees = {},
                    .m_sightings = {},
                    .m_difference = fields.at(10).get_binary() };
-    for (const Json& host : fields.at(8)) {
-      const bool isNeighbour = host.is_number();
+    const Json& known = fields.at(8);
+    for (size_t index = 0; index < known.size();) {
+      const auto host = known.at(index++).get<uint32_t>();
+      const auto traits = known.at(index++).get<uint64_t>();
+      const bool isElsewhere = index < known.size() && known.at(index).is_string();
       status.m_known.push_back(
-        { HostId{ isNeighbour ? host.get<uint32_t>() : host.at(0).get<uint32_t>() },
-          isNeighbour ? status.m_dataCentre : host.at(1).get<std::string>() });
+        { HostId{ host },
+          isElsewhere ? known.at(index++).get<std::string>() : status.m_dataCentre,
+          static_cast<uint32_t>(traits / 2),
+          traits % 2 != 0 });
     }
     for (const Json& sighting : fields.at(9)) {
       const auto sign = sighting.at(1).get<uint8_t>();
--- a/lib/dissemination/Status.h
+++ b/lib/dissemination/Status.h
@@ -16,6 +16,8 @@
 {
   HostId m_host;
   std::string m_dataCentre;
+  uint32_t m_capacity{};
+  bool m_isReader{};
 };
 
 /// What callers showed of an upstream.
@@ -55,7 +57,8 @@
   registry::Revision m_revision{};
   /// How long ago the store confirmed that; negative before it ever did.
   int64_t m_ageMs{ -1 };
-  /// Random live hosts that the sender hears.
+  /// Live hosts that the sender hears: the readers of a data centre, those who may follow them, and
+  /// random ones.
   std::vector<KnownHost> m_known;
   /// Of a reader: the hosts of its data centre that should read, among those that it hears.
   std::vector<HostId> m_nominees;
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -34,8 +34,9 @@
     m_calls.push_back(aMayBeOld ? "load-old" : "load");
     m_done = std::move(aDone);
   }
-  void watch(registry::Revision aAfter, Millis, Millis, ReadingHandler aDone)
+  void watch(registry::Revision aAfter, Millis aWait, Millis, ReadingHandler aDone)
   {
+    m_wait = aWait;
     m_calls.push_back("watch-" + std::to_string(aAfter));
     m_done = std::move(aDone);
   }
@@ -48,6 +49,7 @@
   }
 
   std::vector<std::string> m_calls;
+  Millis m_wait{};
   ReadingHandler m_done;
 };
 
@@ -309,8 +311,13 @@
     fixture.tick(Millis{ 100 });
   }
   CHECK(fixture.m_store.m_calls.back() == "watch-10");
-  // The watch began 400 ms ago and ends by itself.
-  fixture.tick(kWatchWait - Millis{ 400 });
+  // The first watch ends at once, for others wait for this host; it began 400 ms ago.
+  CHECK(fixture.m_store.m_wait == kFirstWatchWait);
+  fixture.m_store.answer(Reading{ .m_revision = 10 });
+  CHECK(fixture.m_host.viewAge(fixture.m_now) == Millis{ 400 } - kFirstWatchWait);
+  fixture.tick(Millis{ 100 });
+  CHECK(fixture.m_store.m_wait == kWatchWait);
+  fixture.tick(kWatchWait);
   fixture.m_store.answer(Reading{ .m_revision = 10 });
   CHECK(fixture.m_host.viewAge(fixture.m_now) == Millis{ 0 });
   CHECK(fixture.hasLine(EventId::RecordsLoaded));
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -206,22 +206,42 @@
 }
 
 std::vector<uint8_t>
-Host::makeStatus(TimePoint aNow, std::string_view aNamesHostsOf)
+Host::makeStatus(TimePoint aNow)
+{
+  return encode(m_peers.makeStatus(aNow, m_registry.complete()));
+}
+
+std::vector<uint8_t>
+Host::makeRegularStatus(TimePoint aNow)
 {
-  collectSightings();
   dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete());
-  if (!aNamesHostsOf.empty()) {
-    m_peers.nameHosts(aNow, aNamesHostsOf, status);
+  if (m_peers.isNamingDue()) {
+    m_peers.nameNeighbours(aNow, status);
   }
-  status.m_sightings = m_sightings;
+  return encode(std::move(status));
+}
+
+std::vector<uint8_t>
+Host::makeAnswer(TimePoint aNow, std::string_view aDataCentre)
+{
+  dissemination::Status status = m_peers.makeStatus(aNow, m_registry.complete());
+  m_peers.nameHosts(aNow, aDataCentre, status);
+  return encode(std::move(status));
+}
+
+std::vector<uint8_t>
+Host::encode(dissemination::Status aStatus)
+{
+  collectSightings();
+  aStatus.m_sightings = m_sightings;
   if (m_isReader && m_pushedRevision > 0 && m_pushedRevision < m_registry.complete()) {
     std::vector<uint8_t> difference =
       registry::encodeDifference(m_registry.changesSince(m_pushedRevision));
     if (difference.size() <= kInlineDifferenceBytes) {
-      status.m_difference = std::move(difference);
+      aStatus.m_difference = std::move(difference);
     }
   }
-  return dissemination::encodeStatus(status);
+  return dissemination::encodeStatus(aStatus);
 }
 
 bool
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -56,8 +56,11 @@
   void note(EventId aEvent, std::string aFields);
 
   /// A status with what changed since the last one that was pushed, when that fits.
-  /// `aNamesHostsOf`: a data centre whose hosts the receiver should know of; empty for none.
-  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow, std::string_view aNamesHostsOf);
+  [[nodiscard]] std::vector<uint8_t> makeStatus(TimePoint aNow);
+  /// One of the regular statuses, some of which name neighbours.
+  [[nodiscard]] std::vector<uint8_t> makeRegularStatus(TimePoint aNow);
+  /// A status for a host of a data centre, which names those that it should know of.
+  [[nodiscard]] std::vector<uint8_t> makeAnswer(TimePoint aNow, std::string_view aDataCentre);
   [[nodiscard]] bool hasNews() const;
   /// Whether callers' packets showed something that other hosts should know at once.
   [[nodiscard]] bool hasSightings();
@@ -85,6 +88,7 @@
   [[nodiscard]] uint64_t omittedLines() const { return m_omittedLines; }
 
 private:
+  [[nodiscard]] std::vector<uint8_t> encode(dissemination::Status aStatus);
   void onChanges(TimePoint aNow, std::span<const registry::Change> aChanges);
   void refreshView(TimePoint aNow);
   void takeFlowLines(TimePoint aNow, std::vector<Line>& aLines);
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -38,16 +38,13 @@
 void
 PeerLink::step(TimePoint aNow)
 {
-  const auto targets = m_host.peers().dueTargets(aNow);
-  if (!targets.empty()) {
-    const bool namesHosts = m_host.peers().isNamingDue();
-    send(m_host.makeStatus(aNow, namesHosts ? m_host.dataCentre() : ""), targets);
-    m_host.onPushed();
-    return;
-  }
   if (m_host.hasNews()) {
     push(aNow);
   }
+  const auto targets = m_host.peers().dueTargets(aNow);
+  if (!targets.empty()) {
+    send(m_host.makeRegularStatus(aNow), targets);
+  }
 }
 
 void
@@ -63,7 +60,7 @@
     return;
   }
   if (m_pushes.take(aNow)) {
-    send(m_host.makeStatus(aNow, {}), targets);
+    send(m_host.makeStatus(aNow), targets);
     m_host.onPushed();
   }
 }
@@ -71,7 +68,7 @@
 void
 PeerLink::announce(TimePoint aNow)
 {
-  send(m_host.makeStatus(aNow, {}), m_host.peers().live(aNow));
+  send(m_host.makeStatus(aNow), m_host.peers().live(aNow));
 }
 
 void
@@ -101,7 +98,7 @@
   const dissemination::Reaction reaction = m_host.onStatus(now, *status);
   if (reaction.m_isAnswerDue) {
     const std::array<HostId, 1> target{ status->m_sender };
-    send(m_host.makeStatus(now, status->m_dataCentre), target);
+    send(m_host.makeAnswer(now, status->m_dataCentre), target);
   }
   if (m_host.hasSightings()) {
     push(now);
@@ -109,6 +106,9 @@
   if (reaction.m_isPullDue) {
     pullFrom(now, status->m_sender);
   }
+  if (m_host.peers().isGreetingDue()) {
+    step(now);
+  }
 }
 
 void
--- a/lib/edge/PeerLink.h
+++ b/lib/edge/PeerLink.h
@@ -17,7 +17,7 @@
 /// Statuses that a host reads in a second: at 0.1 ms each, half of what control may take. A reader
 /// of a data centre of the design size gets 122.
 inline constexpr double kStatusesPerSecond = 200;
-inline constexpr double kStatusBurst = 200;
+inline constexpr double kStatusBurst = 400;
 
 class PeerLink
 {
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -14,6 +14,8 @@
 /// How long the store holds a watch back when nothing changes. Half of it is the mean age of the
 /// records of a reader, and one call a watch is paid.
 inline constexpr Millis kWatchWait{ 1000 };
+/// A host whose records nothing has confirmed for a while asks for an answer at once.
+inline constexpr Millis kFirstWatchWait{ 20 };
 /// What a call may take beyond its wait. A slow store needs 200 ms an answer.
 inline constexpr Millis kCallDeadline{ 700 };
 /// Changes that come sooner after a call are read together with those that follow.
@@ -66,8 +68,10 @@
       m_source.load(false, kCallDeadline, pageHandler(), handler());
     } else {
       m_isWatch = true;
-      m_source.watch(
-        m_host.registry().complete(), kWatchWait, kWatchWait + kCallDeadline, handler());
+      const Millis age = m_host.viewAge(aNow);
+      const bool isUnconfirmed = age < Millis{} || age > dissemination::kOwnReadingAge;
+      m_wait = isUnconfirmed ? kFirstWatchWait : kWatchWait;
+      m_source.watch(m_host.registry().complete(), m_wait, m_wait + kCallDeadline, handler());
     }
   }
 
@@ -130,7 +134,7 @@
     const bool isEmptyWatch =
       aWasWatch && aReading.m_changes.empty() && !aReading.m_configuration.has_value();
     // A watch that ended by itself was answered after its wait, any other call after it was sent.
-    TimePoint confirmedAt = isEmptyWatch ? std::min(aNow, m_startedAt + kWatchWait) : m_startedAt;
+    TimePoint confirmedAt = isEmptyWatch ? std::min(aNow, m_startedAt + m_wait) : m_startedAt;
     if (!aWasWatch && m_isOldAllowed) {
       confirmedAt = {};
     }
@@ -174,6 +178,8 @@
   bool m_isLost{};
   /// Answers of earlier generations are not ours any more.
   uint64_t m_generation{};
+  /// Of the watch that is under way.
+  Millis m_wait{};
   TimePoint m_startedAt;
   TimePoint m_nextAt;
   TimePoint m_disturbedAt;
