[steering] A caller that does not go on with its flow was refused

A caller sends a copy of its opening packet after 200 ms unless it got an answer; one that neither went on nor repeated within 300 ms was refused. New flows avoid the upstream for 1 s, then 2, 4 and 8 s, on all hosts that hear of it, with one trial flow at a time; open flows are not judged by it. Listeners push to readers only what they saw, no longer each revision that came from them.

--- a/lib/base/Events.h
+++ b/lib/base/Events.h
@@ -61,6 +61,7 @@
   TokenCollision = 516,
   UpstreamSlow = 517,
   AnswerSlow = 518,
+  UpstreamRefuses = 519,
   DataCentreOut = 600,
   DataCentreBack = 601,
   FlowOpened = 700,
--- a/lib/dissemination/Status.cpp
+++ b/lib/dissemination/Status.cpp
@@ -89,7 +89,7 @@
     }
     for (const Json& sighting : fields.at(9)) {
       const auto sign = sighting.at(1).get<uint8_t>();
-      if (sign > static_cast<uint8_t>(Sign::Slowness)) {
+      if (sign > static_cast<uint8_t>(Sign::Refusal)) {
         return absl::InvalidArgumentError("a status with an unknown sign of an upstream");
       }
       status.m_sightings.push_back({ sighting.at(0).get<uint32_t>(),
--- a/lib/dissemination/Status.h
+++ b/lib/dissemination/Status.h
@@ -29,6 +29,8 @@
   Life,
   /// It answers many times slower than usual.
   Slowness,
+  /// It refuses new flows.
+  Refusal,
 };
 
 struct Sighting
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -23,6 +23,8 @@
       return dissemination::Sign::Life;
     case EventId::AnswerSlow:
       return dissemination::Sign::Slowness;
+    case EventId::UpstreamRefuses:
+      return dissemination::Sign::Refusal;
     default:
       return std::nullopt;
   }
@@ -151,6 +153,9 @@
     case dissemination::Sign::Slowness:
       isNews = upstream->m_pace.onReport(aNow, aSighting.m_witness);
       break;
+    case dissemination::Sign::Refusal:
+      isNews = upstream->m_health.onRefusal(aNow);
+      break;
   }
   const auto noteBelief = [&](EventId aEvent) {
     note(aEvent,
@@ -158,7 +163,8 @@
            " witness=" + formatHost(aSighting.m_witness));
   };
   if (!wasAvoided && upstream->m_health.isAvoided(aNow)) {
-    noteBelief(EventId::UpstreamAvoided);
+    noteBelief(aSighting.m_sign == dissemination::Sign::Refusal ? EventId::UpstreamRefuses
+                                                                : EventId::UpstreamAvoided);
   }
   if (!wasSlow && upstream->m_pace.isSlow(aNow)) {
     noteBelief(EventId::UpstreamSlow);
@@ -220,6 +226,11 @@
            " hosts=" + std::to_string(m_peers.size()) +
            " view_age_ms=" + std::to_string(viewAge(aNow).count()));
   }
+  m_steering.judgeOpenings(aNow);
+  if (!m_isReader) {
+    // Only readers tell others what changed.
+    m_pushedRevision = m_registry.complete();
+  }
   m_coldBudget.setOwner(aNow, m_peers.isSoleReader(aNow));
   refreshView(aNow);
   collectSightings();
@@ -273,7 +284,7 @@
 bool
 Host::hasNews() const
 {
-  return !m_sightings.empty() || m_registry.complete() > m_pushedRevision;
+  return !m_sightings.empty() || (m_isReader && m_registry.complete() > m_pushedRevision);
 }
 
 bool
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -63,7 +63,7 @@
     targets = m_host.peers().readers(aNow);
   }
   if (targets.empty()) {
-    m_host.onPushed();
+    // Nobody relies on this host, and sightings wait for a reader.
     return;
   }
   if (m_pushes.take(aNow)) {
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -28,12 +28,6 @@
 inline constexpr Millis kSpanOfDead{ 100 };
 /// After its avoidance has ended, an upstream that has not answered gets one new flow at a time.
 inline constexpr Millis kTrialInterval{ 300 };
-/// New flows in a row that no caller goes on with, from which on an upstream counts as silent: it
-/// refuses callers directly, so they repeat nothing. By loss alone, one in 27 on a link that loses
-/// a third of its packets.
-inline constexpr uint32_t kMostUnfollowed = 3;
-/// New flows that come closer say one thing only: callers need a round trip to go on.
-inline constexpr Millis kUnfollowedInterval{ 100 };
 
 class PassiveHealth
 {
@@ -46,35 +40,34 @@
     if (isAvoided(aNow) || m_evidence < kEvidenceOfSilence) {
       return false;
     }
-    m_avoidance =
-      m_avoidance == Millis{} ? kFirstAvoidance : std::min(m_avoidance * 2, kLongestAvoidance);
-    m_avoidedUntil = aNow + m_avoidance;
+    avoid(aNow);
     return true;
   }
 
-  /// A new flow goes there. Returns whether avoidance begins, since no caller went on with the last
-  /// ones.
-  bool onTried(TimePoint aNow)
+  /// A caller, of this host or of another one, was refused. That keeps new flows away, but says
+  /// nothing of open ones, whose callers would be refused, too. Returns whether avoidance begins.
+  bool onRefusal(TimePoint aNow)
   {
-    if (m_avoidance != Millis{}) {
-      m_avoidedUntil = std::max(m_avoidedUntil, aNow + kTrialInterval);
-    }
-    if (m_unfollowed > 0 && aNow - m_lastUnfollowedAt < kUnfollowedInterval) {
+    if (m_avoidedUntil - aNow > kTrialInterval) {
       return false;
     }
-    m_lastUnfollowedAt = aNow;
-    if (m_unfollowed < kMostUnfollowed) {
-      ++m_unfollowed;
-      return false;
+    avoid(aNow);
+    return true;
+  }
+
+  /// A new flow goes there.
+  void onTried(TimePoint aNow)
+  {
+    if (m_avoidance != Millis{}) {
+      m_avoidedUntil = std::max(m_avoidedUntil, aNow + kTrialInterval);
     }
-    m_unfollowed = 0;
-    return onSilence(aNow, kEvidenceOfSilence);
   }
 
   /// A caller acknowledged an answer. Returns whether that is news.
   bool onProgress(TimePoint aNow)
   {
-    const bool wasDoubted = isAvoided(aNow) || isSilent() || m_witnessCount > 0;
+    const bool wasDoubted =
+      isAvoided(aNow) || isSilent() || m_witnessCount > 0 || m_avoidance != Millis{};
     *this = {};
     return wasDoubted;
   }
@@ -104,6 +97,13 @@
   [[nodiscard]] double evidence() const { return m_evidence; }
 
 private:
+  void avoid(TimePoint aNow)
+  {
+    m_avoidance =
+      m_avoidance == Millis{} ? kFirstAvoidance : std::min(m_avoidance * 2, kLongestAvoidance);
+    m_avoidedUntil = aNow + m_avoidance;
+  }
+
   void doubt(TimePoint aNow, double aEvidence)
   {
     if (m_evidence == 0) {
@@ -118,9 +118,6 @@
   std::array<HostId, kMostWitnesses> m_witnesses{};
   uint32_t m_witnessCount{};
   TimePoint m_silentSince;
-  /// New flows since the last sign of life that were kUnfollowedInterval apart.
-  uint32_t m_unfollowed{};
-  TimePoint m_lastUnfollowedAt;
   Millis m_avoidance{};
   TimePoint m_avoidedUntil;
 };
--- a/lib/steering/SilenceTest.cpp
+++ b/lib/steering/SilenceTest.cpp
@@ -222,7 +222,9 @@
       fixture.open(static_cast<uint16_t>(round * 100 + flow));
       fixture.wait(Millis{ 4 });
     }
-    fixture.decide(fixture.request(static_cast<uint16_t>(round * 100 + 1), token));
+    for (uint16_t flow = 1; flow <= 20; ++flow) {
+      fixture.goOn(static_cast<uint16_t>(round * 100 + flow), token);
+    }
     fixture.wait(Millis{ 30 });
     CHECK_FALSE(fixture.upstream(token).m_health.isAvoided(fixture.m_now));
   }
@@ -265,3 +267,51 @@
   CHECK(health.onProgress(fixture.m_now));
   CHECK(fixture.decide(fixture.request(1, token, 501)).m_action == Action::Forward);
 }
+
+TEST_CASE("a refused caller says nothing of open flows, and one that goes on ends the avoidance")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  fixture.goOn(1, token);
+  fixture.open(2);
+  fixture.open(3);
+  for (int step = 0; step < 4; ++step) {
+    fixture.wait(Millis{ 100 });
+  }
+  const PassiveHealth& health = fixture.upstream(token).m_health;
+  CHECK(health.isAvoided(fixture.m_now));
+  CHECK_FALSE(health.isSilent());
+  CHECK_FALSE(health.isDead(fixture.m_now));
+  CHECK(fixture.decide(fixture.request(1, token)).m_action == Action::Forward);
+  fixture.acknowledge(1, token);
+  CHECK_FALSE(health.isAvoided(fixture.m_now));
+}
+
+TEST_CASE("copies of lost opening packets, and a host that stood still, are no refusals")
+{
+  Fixture fixture;
+  fixture.addUpstream(Fixture::record(1));
+  const Token token = fixture.open(1);
+  fixture.goOn(1, token);
+  fixture.open(2);
+  fixture.wait(Millis{ 200 });
+  fixture.decide(fixture.opening(2, kSafePort, 1));
+  fixture.goOn(2, token);
+  fixture.wait(Millis{ 200 });
+  CHECK_FALSE(fixture.upstream(token).m_health.isAvoided(fixture.m_now));
+
+  fixture.open(3);
+  fixture.wait(Millis{ 2000 });
+  CHECK_FALSE(fixture.upstream(token).m_health.isAvoided(fixture.m_now));
+
+  // All hosts lost power; callers whose opening packets waited have given up.
+  fixture.m_steering.setView({ .m_revision = fixture.m_revision,
+                               .m_confirmedAt = fixture.m_now,
+                               .m_loadedAt = fixture.m_now - Millis{ 100 } });
+  fixture.open(4);
+  for (int step = 0; step < 4; ++step) {
+    fixture.wait(Millis{ 100 });
+  }
+  CHECK_FALSE(fixture.upstream(token).m_health.isAvoided(fixture.m_now));
+}
--- a/lib/steering/SteeringFixture.h
+++ b/lib/steering/SteeringFixture.h
@@ -77,6 +77,7 @@
     m_now += aTime;
     confirm();
     m_directory.tick(m_now);
+    m_steering.judgeOpenings(m_now);
   }
 
   FlowPacket opening(uint16_t aCallerPort, uint16_t aPort = kSafePort, uint32_t aCopy = 0) const
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -132,6 +132,19 @@
   }
 }
 
+void
+TokenSteering::judgeOpenings(TimePoint aNow)
+{
+  m_openings.judge(aNow, m_flows, [&](const packet::FlowKey& aFlow, Token aToken) {
+    Upstream* const upstream = m_directory.findUpstream(aToken);
+    // While links lose many packets, copies of opening packets are lost, too.
+    const bool isTelling = m_openedAgain.surprise() >= kEvidenceOfSilence;
+    if (upstream != nullptr && isTelling && upstream->m_health.onRefusal(aNow)) {
+      record(aNow, { .m_flow = aFlow }, { .m_event = EventId::UpstreamRefuses, .m_token = aToken });
+    }
+  });
+}
+
 void
 TokenSteering::judgePace(TimePoint aNow,
                          const FlowPacket& aPacket,
@@ -196,10 +209,12 @@
     FlowState(aNow, aPacket.m_flow, chosen->m_token, aPacket.m_sequence);
   chosen->m_requests.add(aNow);
   chosen->m_flows.add(aNow);
-  if (chosen->m_health.onTried(aNow)) {
-    record(aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = chosen->m_token });
-  }
+  chosen->m_health.onTried(aNow);
   const bool isAgain = aPacket.m_copy > 0;
+  const bool isJustStarted = aNow - m_view.m_loadedAt < kUnwatchedStart;
+  if (!isAgain && !isJustStarted) {
+    m_openings.onOpened(aNow, aPacket.m_flow, chosen->m_token);
+  }
   ++(isAgain ? m_counters.m_openedAgain : m_counters.m_opened);
   record(aNow,
          aPacket,
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -6,6 +6,7 @@
 #include "steering/ChanceMeter.h"
 #include "steering/FlowEvents.h"
 #include "steering/FlowTable.h"
+#include "steering/OpeningWatch.h"
 #include "steering/Placement.h"
 
 #include <functional>
@@ -79,6 +80,9 @@
   /// acknowledged a request leaves its caller nothing to repeat. Returns the flows to reset.
   [[nodiscard]] std::vector<FlowPacket> giveUp(TimePoint aNow);
 
+  /// Looks for new flows whose callers were refused. Call it at each tick.
+  void judgeOpenings(TimePoint aNow);
+
   [[nodiscard]] const SteeringCounters& counters() const { return m_counters; }
   [[nodiscard]] FlowEvents& events() { return m_events; }
 
@@ -128,6 +132,7 @@
   Directory& m_directory;
   Placement& m_placement;
   FlowTable m_flows;
+  OpeningWatch m_openings;
   /// Flows whose opening packet is repeated, and requests that are.
   ChanceMeter m_openedAgain{ kFirstChanceOfCopy, kLeastChanceOfCopy };
   ChanceMeter m_requestRepeated{ kFirstChanceOfRepeat, kLeastChanceOfRepeat };
