[edge] A starting host waits 50 ms for an answer, and does not list its first upstreams

Change: the store is read after 50 ms without an answer, or at the first answer of a host without records; 300 ms are for a host that has heard of records. Ticks are 25 ms apart until then. The first records are one log line. Conclusion: reading all pages before the first flow is placed is what is left.

--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -46,7 +46,7 @@
 /// Seeds are greeted in turn: this often by a host that has heard nobody, that has just lost its
 /// reader or become one, that reads for others (so that seeds can name it, and tell it of a better
 /// reader), whose records nothing confirms, and by the others.
-inline constexpr Millis kSeedIntervalOfNewcomer{ 100 };
+inline constexpr Millis kSeedIntervalOfNewcomer{ 50 };
 inline constexpr Millis kSeedInterval{ 500 };
 inline constexpr Millis kSeedIntervalOfReader{ 2000 };
 inline constexpr Millis kSeedIntervalWhenStale{ 4000 };
--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -166,7 +166,7 @@
       m_io.stop();
       return;
     }
-    m_timer.expires_after(kTickInterval);
+    m_timer.expires_after(m_host.isLoaded() ? kTickInterval : kStartTickInterval);
     m_timer.async_wait([this](const asio::error_code& aError) {
       if (!aError) {
         tick();
--- a/lib/edge/FirstRecords.h
+++ b/lib/edge/FirstRecords.h
@@ -9,13 +9,15 @@
 
 namespace tamarack::edge {
 
-/// A host of the same data centre that is up names itself and its revision within a few
-/// milliseconds, also on a tenth of a core that others ask, too.
-inline constexpr Millis kNeighbourPatience{ 200 };
+/// A host that is up answers within a few milliseconds, also on a twentieth of a core. When nobody
+/// does, all hosts may have lost power, and callers wait.
+inline constexpr Millis kAnswerPatience{ 50 };
+/// A host that has heard of records has to find a neighbour that holds them.
+inline constexpr Millis kNeighbourPatience{ 300 };
 /// A transfer that takes longer than this goes on beside the reading of the store.
 inline constexpr Millis kTransferPatience{ 600 };
-/// So many answers without records, and none with, tell a starting host that all have just started.
-inline constexpr int kMostEmptyAnswers = 2;
+/// Time between two looks at what is due, until the first records are there.
+inline constexpr Millis kStartTickInterval{ 25 };
 
 class FirstRecords
 {
@@ -29,7 +31,7 @@
   void onAnswer(bool aHasRecords)
   {
     m_hasHeardRecords = m_hasHeardRecords || aHasRecords;
-    m_emptyAnswers += aHasRecords ? 0 : 1;
+    m_hasHeardEmpty = m_hasHeardEmpty || !aHasRecords;
   }
   void onTransferBegun(TimePoint aNow) { m_transferBegunAt = aNow; }
   void onTransferFailed()
@@ -50,10 +52,15 @@
     if (!m_hasSeeds) {
       return "no-seeds";
     }
-    if (m_emptyAnswers >= kMostEmptyAnswers && !m_hasHeardRecords) {
+    const Millis waited = aNow - m_startedAt;
+    if (m_hasHeardRecords) {
+      return waited >= kNeighbourPatience ? "no-neighbour" : "";
+    }
+    if (m_hasHeardEmpty) {
+      // Whoever answers has just started, too.
       return "neighbours-empty";
     }
-    return aNow - m_startedAt >= kNeighbourPatience ? "no-neighbour" : "";
+    return waited >= kAnswerPatience ? "no-answer" : "";
   }
 
   /// Whether records of a host of another data centre, or old ones, are better than none by now.
@@ -69,7 +76,7 @@
   bool m_hasSeeds{};
   bool m_hasFailed{};
   bool m_hasHeardRecords{};
-  int m_emptyAnswers{};
+  bool m_hasHeardEmpty{};
 };
 
 } // namespace tamarack::edge
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -63,6 +63,7 @@
 void
 Host::onPage(TimePoint aNow, const registry::Reading& aPage)
 {
+  m_directory.setListing(false);
   m_directory.apply(aNow, m_registry.merge(aPage, false));
 }
 
@@ -77,6 +78,7 @@
 void
 Host::onChanges(TimePoint aNow, std::span<const registry::Change> aChanges)
 {
+  m_directory.setListing(m_loadedAt != TimePoint{});
   if (m_loadedAt == TimePoint{} && isLoaded()) {
     m_loadedAt = aNow;
     note(EventId::RecordsLoaded,
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -209,7 +209,7 @@
   }
   if (isDraining) {
     believe(EventId::UpstreamDraining, aUpstream);
-  } else if (isNew || isBack) {
+  } else if ((isNew || isBack) && m_isListing) {
     believe(EventId::UpstreamRegistered,
             aUpstream,
             " cold_ms=" + std::to_string(aRecord.m_warmUpLeft.count()));
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -107,6 +107,9 @@
   {
   }
 
+  /// Whether each upstream that registers is logged. The first records of a host are not: their
+  /// number is, and other hosts logged each one when it came.
+  void setListing(bool aIsListing) { m_isListing = aIsListing; }
   /// Takes changes of the registry in.
   void apply(TimePoint aNow, std::span<const registry::Change> aChanges);
   /// Ends grace times and forgets what is long gone.
@@ -147,6 +150,7 @@
   absl::flat_hash_map<uint64_t, Upstream*> m_byAddress;
   absl::flat_hash_map<std::string, bool> m_isOut;
   std::vector<Belief> m_beliefs;
+  bool m_isListing{ true };
   TimePoint m_lastTick;
 };
 
