[edge] A starting host places flows after one page of upstreams and the configuration

Cause: after a loss of all hosts a host on 0.038 of a core needed 0.6 s for all pages before its first new flow. Pages were meant to serve flows before that and never did: handlers were compared with a generation that an argument evaluated earlier had not raised yet. A host places a flow once it knows its route and eight warm open upstreams of each of its services; what it does not know yet waits. Three pages are read at once, the rest only if no neighbour hands its records over.

--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -197,7 +197,7 @@
   /// until everything is loaded.
   void startServing()
   {
-    if (m_host.isLoaded() && !m_deferred.empty()) {
+    if (m_host.directory().routes() > 0 && !m_deferred.empty()) {
       for (const std::vector<uint8_t>& datagram : std::exchange(m_deferred, {})) {
         onPacket(datagram);
       }
@@ -228,7 +228,7 @@
       return;
     }
     const auto& packet = std::get<steering::FlowPacket>(parsed);
-    if (!m_host.canDecide(packet)) {
+    if (!m_host.canDecide(now, packet)) {
       if (m_deferred.size() < kMostDeferred) {
         m_deferred.emplace_back(aDatagram.begin(), aDatagram.end());
       }
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -29,9 +29,13 @@
 /// A store whose calls wait until the test answers them.
 struct FakeStore
 {
-  void load(bool aMayBeOld, Millis, std::function<void(const Reading&)>, ReadingHandler aDone)
+  void load(bool aMayBeOld,
+            Millis,
+            std::function<bool(const Reading&)> aOnPage,
+            ReadingHandler aDone)
   {
     m_calls.push_back(aMayBeOld ? "load-old" : "load");
+    m_onPage = std::move(aOnPage);
     m_done = std::move(aDone);
   }
   void watch(registry::Revision aAfter, Millis aWait, Millis, ReadingHandler aDone)
@@ -50,6 +54,7 @@
 
   std::vector<std::string> m_calls;
   Millis m_wait{};
+  std::function<bool(const Reading&)> m_onPage;
   ReadingHandler m_done;
 };
 
@@ -360,6 +365,42 @@
   CHECK(fixture.hasLine(EventId::ViewStale));
 }
 
+TEST_CASE("a starting host beside others reads three pages of the store, and the rest in need")
+{
+  TimePoint now{ Millis{ 70'000 } };
+  FakeStore store;
+  Host host({ .m_peers = { .m_self = HostId{ 1 },
+                           .m_dataCentre = "natal",
+                           .m_capacity = 38,
+                           .m_incarnation = 1,
+                           .m_seeds = { HostId{ 2 } } },
+              .m_coldLimits = {},
+              .m_flowPlaces = 256,
+              .m_seed = 1 });
+  StoreFollower<FakeStore> follower{ store, host, [&now] { return now; } };
+  const auto step = [&](Millis aTime) {
+    now += aTime;
+    host.tick(now);
+    follower.step(now);
+  };
+  step(Millis{});
+  REQUIRE(store.m_done);
+  dissemination::Status status = statusOf(2, "natal");
+  status.m_revision = 10;
+  host.onStatus(now, status);
+  CHECK(store.m_onPage({}));
+  CHECK(store.m_onPage({}));
+  CHECK_FALSE(store.m_onPage({}));
+  store.answer(absl::CancelledError("not wanted"));
+  CHECK(follower.failures() == 0);
+  step(Millis{ 25 });
+  CHECK(store.m_calls.size() == 1);
+  // The neighbour hands nothing over.
+  step(kNeighbourPatience);
+  CHECK(store.m_calls.size() == 2);
+  CHECK(store.m_onPage({}));
+}
+
 TEST_CASE("an answer to a call that was given up changes nothing")
 {
   Fixture fixture;
--- a/lib/edge/FirstRecordsTest.cpp
+++ b/lib/edge/FirstRecordsTest.cpp
@@ -205,3 +205,30 @@
   host.onDifference(kStart, neighbour.registry().changesSince(10));
   CHECK(logged(EventId::UpstreamRegistered) == 1);
 }
+
+TEST_CASE("a host that knows routes and some upstreams places flows before it knows all")
+{
+  // All hosts lost power; each reads one page of upstreams and the configuration first.
+  Host host(optionsOf(3));
+  host.tick(kStart);
+  Reading page;
+  for (uint64_t identity = 1; identity <= kLeastChoices; ++identity) {
+    CHECK_FALSE(host.canDecide(kStart, opening()));
+    page.m_changes = { upstream("i-" + std::to_string(identity), identity, 3) };
+    host.onPage(kStart, page);
+  }
+  CHECK_FALSE(host.canDecide(kStart, opening()));
+  Reading operators;
+  operators.m_configuration = earlierReading().m_configuration;
+  host.onPage(kStart, operators);
+  REQUIRE(host.canDecide(kStart, opening()));
+  CHECK(host.decide(kStart, opening()).m_action == steering::Action::Forward);
+  // What it does not know yet may stand on another page.
+  steering::FlowPacket other = opening();
+  other.m_flow.m_destinationPort = 444;
+  CHECK_FALSE(host.canDecide(kStart, other));
+  steering::FlowPacket running = opening();
+  running.m_opens = false;
+  running.m_token = steering::Token{ 12345 };
+  CHECK_FALSE(host.canDecide(kStart, running));
+}
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -60,6 +60,28 @@
   refreshView(aNow);
 }
 
+bool
+Host::canDecide(TimePoint aNow, const steering::FlowPacket& aPacket) const
+{
+  if (isLoaded()) {
+    return true;
+  }
+  if (!aPacket.m_opens) {
+    return m_directory.findUpstream(aPacket.m_token) != nullptr;
+  }
+  const packet::FlowKey& flow = aPacket.m_flow;
+  const steering::Route* const route =
+    m_directory.findRoute(flow.m_destination, flow.m_destinationPort);
+  return route != nullptr &&
+         std::ranges::all_of(route->m_record.m_services, [&](const auto& aShare) {
+           const steering::Service* const service = m_directory.findService(aShare.m_service);
+           return service != nullptr &&
+                  std::ranges::count_if(service->m_upstreams, [aNow](const auto* aUpstream) {
+                    return aUpstream->isOpen() && !aUpstream->isCold(aNow);
+                  }) >= kLeastChoices;
+         });
+}
+
 void
 Host::onPage(TimePoint aNow, const registry::Reading& aPage)
 {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -17,6 +17,10 @@
 /// Sightings that wait for the next message.
 inline constexpr size_t kMostSightings = 32;
 
+/// Upstreams of a service that are enough to place its flows before all records are there. Hosts
+/// that start together know different ones.
+inline constexpr int kLeastChoices = 8;
+
 struct HostOptions
 {
   dissemination::PeersOptions m_peers;
@@ -69,10 +73,7 @@
   void onPushed();
 
   /// Whether what the host knows is enough for a packet; it is for all once everything is loaded.
-  [[nodiscard]] bool canDecide(const steering::FlowPacket& aPacket) const
-  {
-    return isLoaded() || (!aPacket.m_opens && m_directory.findUpstream(aPacket.m_token) != nullptr);
-  }
+  [[nodiscard]] bool canDecide(TimePoint aNow, const steering::FlowPacket& aPacket) const;
   /// Whether to ask the sender of a status that is ahead for its records.
   [[nodiscard]] bool isPullWanted(TimePoint aNow, const dissemination::Status& aStatus) const;
   /// Whether the first records have to come from the store.
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -23,6 +23,9 @@
 /// After a failure, the next call waits this long, then twice as long, up to the last.
 inline constexpr Millis kFirstRetry{ 200 };
 inline constexpr Millis kLastRetry{ 1600 };
+/// Pages that a starting host reads at once: upstreams, the configuration, and the rest of the
+/// upstreams of a small fleet.
+inline constexpr int kGlancePages = 3;
 /// An upstream's entry needs three heartbeats of 1.2 s to lapse, so a removal this long after a
 /// failure of the store may come from the failure.
 inline constexpr Millis kDisturbanceLife{ 4000 };
@@ -34,7 +37,7 @@
 concept RecordSource = requires(Source& aSource, registry::Revision aRevision, ReadingHandler aDone)
 {
   aSource.load(
-    true, Millis{}, [](const registry::Reading&) {}, aDone);
+    true, Millis{}, [](const registry::Reading&) { return true; }, aDone);
   aSource.watch(aRevision, Millis{}, Millis{}, aDone);
   aSource.close();
 };
@@ -57,18 +60,19 @@
     if (m_isBusy || aNow < m_nextAt) {
       return;
     }
-    if (m_host.isLoaded() ? !m_host.isReader() : !m_host.isFirstReadingDue(aNow)) {
+    // A few pages are read at once, for the first flows and for small fleets; the rest only when
+    // no other host has the records.
+    const bool isWaiting = m_hasGlanced && !m_host.isFirstReadingDue(aNow);
+    if (m_host.isLoaded() ? !m_host.isReader() : isWaiting) {
       return;
     }
     m_isBusy = true;
     m_startedAt = aNow;
-    if (!m_host.isLoaded()) {
+    if (!m_host.isLoaded() || m_needsEverything) {
       // Old records serve for the first packets; the next call brings them up to date.
-      m_isOldAllowed = true;
-      m_source.load(true, kCallDeadline, pageHandler(), handler());
-    } else if (m_needsEverything) {
-      m_isOldAllowed = false;
-      m_source.load(false, kCallDeadline, pageHandler(), handler());
+      m_isOldAllowed = !m_host.isLoaded();
+      auto onReading = handler();
+      m_source.load(m_isOldAllowed, kCallDeadline, pageHandler(), std::move(onReading));
     } else {
       m_isWatch = true;
       const Millis age = m_host.viewAge(aNow);
@@ -94,14 +98,18 @@
   [[nodiscard]] uint64_t failures() const { return m_failures; }
 
 private:
-  /// Pages of the first load serve open flows before everything is there.
-  std::function<void(const registry::Reading&)> pageHandler()
+  /// Pages of the first load serve packets before everything is there. For the call whose handler
+  /// was made last.
+  std::function<bool(const registry::Reading&)> pageHandler()
   {
-    return [this, generation = m_generation + 1](const registry::Reading& aPage) {
-      if (generation == m_generation && !m_host.isLoaded()) {
-        m_host.onPage(m_clock(), aPage);
-        m_onAnswer();
+    return [this, generation = m_generation, pages = 0](const registry::Reading& aPage) mutable {
+      if (generation != m_generation || m_host.isLoaded()) {
+        return generation == m_generation && !m_isOldAllowed;
       }
+      m_host.onPage(m_clock(), aPage);
+      m_onAnswer();
+      m_hasGlanced = m_hasGlanced || ++pages == kGlancePages;
+      return !m_hasGlanced || m_host.isFirstReadingDue(m_clock());
     };
   }
 
@@ -118,7 +126,9 @@
   {
     const bool wasWatch = std::exchange(m_isWatch, false);
     m_isBusy = false;
-    if (!aReading.ok()) {
+    if (absl::IsCancelled(aReading.status())) {
+      m_nextAt = aNow;
+    } else if (!aReading.ok()) {
       onFailure(aNow, aReading.status());
     } else {
       onSuccess(aNow, wasWatch, *aReading);
@@ -178,6 +188,8 @@
   bool m_isWatch{};
   bool m_isOldAllowed{};
   bool m_needsEverything{};
+  /// The first pages were read.
+  bool m_hasGlanced{};
   bool m_isLost{};
   /// Answers of earlier generations are not ours any more.
   uint64_t m_generation{};
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -304,7 +304,7 @@
 }
 
 Service*
-Directory::findService(const std::string& aName)
+Directory::findService(const std::string& aName) const
 {
   const auto found = m_services.find(aName);
   return found == m_services.end() ? nullptr : found->second.get();
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -117,7 +117,7 @@
 
   [[nodiscard]] const Route* findRoute(Ipv4 aAddress, uint16_t aPort) const;
   [[nodiscard]] Upstream* findUpstream(Token aToken) const;
-  [[nodiscard]] Service* findService(const std::string& aName);
+  [[nodiscard]] Service* findService(const std::string& aName) const;
   [[nodiscard]] size_t routes() const { return m_routes.size(); }
   [[nodiscard]] const std::vector<std::unique_ptr<Upstream>>& upstreams() const
   {
