[registry] A route that was dropped stays dropped when the configuration is newer than other records

Pages of the store that may be old are of different age. A starting host held the newest configuration beside upstreams of an older revision, began its removals at the older one, and had no record of what that configuration had dropped; another host that pulled from it took the new version and kept the dropped route. Change: removals are known from the first configuration's revision on at the earliest, and of a difference with an older configuration its routes and services are left out. Test: RegistryTest, two cases that failed first.

--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -34,6 +34,15 @@
          aKind == RecordKind::Route;
 }
 
+/// The revision of the configuration that a difference holds; 0 when it holds none.
+Revision
+configurationRevisionOf(const Difference& aDifference)
+{
+  const auto found = std::ranges::find(
+    aDifference.m_changes, RecordKey{ RecordKind::Configuration, {} }, &Change::m_key);
+  return found == aDifference.m_changes.end() ? 0 : found->m_revision;
+}
+
 } // namespace
 
 bool
@@ -90,10 +99,14 @@
     return;
   }
   const Revision revision = aConfiguration.front().m_revision;
-  const auto held = m_records.find({ RecordKind::Configuration, {} });
-  if (held != m_records.end() && held->second.m_revision >= revision) {
+  const Revision held = configurationRevision();
+  if (held >= revision) {
     return;
   }
+  if (held == 0) {
+    // What this configuration dropped is not known here, also when the other records are older.
+    m_floor = std::max(m_floor, revision);
+  }
   std::set<RecordKey> present;
   for (const Change& change : aConfiguration) {
     present.insert(change.m_key);
@@ -145,7 +158,7 @@
       aIsDisturbed,
       changed);
     if (m_complete == 0) {
-      m_floor = aReading.m_revision;
+      m_floor = std::max(m_floor, aReading.m_revision);
     }
   }
   m_complete = std::max(m_complete, aReading.m_revision);
@@ -163,18 +176,24 @@
   if (aDifference.m_isSnapshot && aDifference.m_revision < m_complete) {
     return changed;
   }
+  // Routes of an older configuration than the one that is held may have been dropped since, which
+  // nothing would tell this host once more.
+  const Revision told = configurationRevisionOf(aDifference);
+  const bool isConfigurationOld = told < configurationRevision();
   std::set<RecordKey> present;
   for (const Change& change : aDifference.m_changes) {
     present.insert(change.m_key);
-    if (take(change)) {
+    const bool isOld =
+      isConfigurationOld && isOfConfiguration(change.m_key.m_kind) && change.m_record.has_value();
+    if (!isOld && take(change)) {
       changed.push_back(change);
     }
   }
   if (aDifference.m_isSnapshot) {
-    removeMissing([&present](const RecordKey& aKey) { return present.contains(aKey); },
-                  aDifference.m_revision,
-                  false,
-                  changed);
+    const auto isKept = [&](const RecordKey& aKey) {
+      return present.contains(aKey) || (isConfigurationOld && isOfConfiguration(aKey.m_kind));
+    };
+    removeMissing(isKept, aDifference.m_revision, false, changed);
     // The sender forgot removals before this revision, and so did we.
     m_floor = std::max(m_floor, aDifference.m_revision);
   }
@@ -201,6 +220,13 @@
   return difference;
 }
 
+Revision
+Registry::configurationRevision() const
+{
+  const auto found = m_records.find({ RecordKind::Configuration, {} });
+  return found == m_records.end() ? 0 : found->second.m_revision;
+}
+
 uint64_t
 Registry::configurationVersion() const
 {
--- a/lib/registry/Registry.h
+++ b/lib/registry/Registry.h
@@ -47,6 +47,8 @@
     bool m_mayReturn{};
   };
 
+  /// When the configuration that is held was written; 0 when none is.
+  [[nodiscard]] Revision configurationRevision() const;
   /// Takes a change that is newer than what is held. Returns whether the record differs.
   bool take(const Change& aChange);
   void takeConfiguration(const std::vector<Change>& aConfiguration, std::vector<Change>& aChanged);
--- a/lib/registry/RegistryTest.cpp
+++ b/lib/registry/RegistryTest.cpp
@@ -165,6 +165,54 @@
   CHECK(old.changesSince(0).m_changes.size() == 2);
 }
 
+TEST_CASE("a route that was dropped stays dropped when a configuration is newer than other records")
+{
+  // Pages of the store may be of different age: the configuration of revision 89 dropped a route,
+  // and the upstreams were read at 50. After that the host reads on by itself.
+  Reading pages = snapshot(50, { upstream("a", 1) });
+  pages.m_configuration = configuration(9, 89, { route("kept", 89) });
+  Registry started;
+  started.merge(pages, false);
+  Reading later{ .m_revision = 100 };
+  later.m_configuration = configuration(9, 89, { route("kept", 89) });
+  started.merge(later, false);
+
+  // A host that ran all along takes from it what it lacks, and the dropped route with it.
+  Reading before = snapshot(54, { upstream("a", 1) });
+  before.m_configuration = configuration(5, 40, { route("kept", 40), route("dropped", 40, 80) });
+  Registry running;
+  running.merge(before, false);
+  running.merge(started.changesSince(running.complete()));
+  CHECK(running.configurationVersion() == 9);
+  const auto held = keysOf(running.changesSince(0).m_changes);
+  CHECK(std::ranges::find(held, RecordKey{ RecordKind::Route, "kept" }) != held.end());
+  CHECK(std::ranges::find(held, RecordKey{ RecordKind::Route, "dropped" }) == held.end());
+}
+
+TEST_CASE("a snapshot adds no routes of an older configuration to those of a newer one")
+{
+  Reading page;
+  page.m_configuration = configuration(9, 89, { route("kept", 89) });
+  Registry starting;
+  starting.merge(page, false);
+
+  Reading before = snapshot(54, { upstream("a", 1) });
+  before.m_configuration = configuration(5, 40, { route("kept", 40), route("dropped", 40, 80) });
+  Registry neighbour;
+  neighbour.merge(before, false);
+  const auto changed = keysOf(starting.merge(neighbour.changesSince(0)));
+  CHECK(changed == std::vector<RecordKey>{ { RecordKind::Upstream, "a" } });
+  CHECK(starting.complete() == 54);
+
+  // The store says nothing new of the configuration.
+  Reading later{ .m_revision = 100 };
+  later.m_configuration = page.m_configuration;
+  starting.merge(later, false);
+  const auto held = keysOf(starting.changesSince(0).m_changes);
+  CHECK(std::ranges::find(held, RecordKey{ RecordKind::Route, "kept" }) != held.end());
+  CHECK(std::ranges::find(held, RecordKey{ RecordKind::Route, "dropped" }) == held.end());
+}
+
 TEST_CASE("differences survive their encoding, and mutated bytes are refused or read")
 {
   Registry registry;
