[dissemination] Hosts that are gone are not named for ever

A host counts as remembered while others name it, and every host that had heard it once went on naming it, so hosts that are gone stayed in all tables.

--- a/lib/dissemination/FleetStartTest.cpp
+++ b/lib/dissemination/FleetStartTest.cpp
@@ -78,6 +78,8 @@
     return most;
   }
 
+  void kill(uint32_t aDataCentre, uint32_t aIndex) { m_members.erase(hostOf(aDataCentre, aIndex)); }
+
   /// Seconds of reading of all hosts since the last call.
   double takeReadingSeconds()
   {
@@ -217,3 +219,17 @@
   checkSettled(fleet);
   CHECK(fleet.takeReadingSeconds() <= 6 * 1.1 * 6);
 }
+
+TEST_CASE("hosts that are gone are forgotten, though others may go on naming them")
+{
+  StartingFleet fleet(2, 12);
+  fleet.run(Millis{ 6000 });
+  for (uint32_t index = 6; index < 12; ++index) {
+    fleet.kill(0, index);
+    fleet.kill(1, index);
+  }
+  // Who heard them last forgets them, and after that who was told of them.
+  fleet.run(3 * kForgetPeer);
+  checkSettled(fleet);
+  CHECK(fleet.mostRemembered() <= 5 + kContactsPerDataCentre);
+}
