--- a/lib/dissemination/FleetStartTest.cpp
+++ b/lib/dissemination/FleetStartTest.cpp
@@ -176,8 +176,8 @@
 void
 checkSettled(const StartingFleet& aFleet)
 {
-  for (const auto& [dataCentre, count] : aFleet.readers()) {
-    CHECK_MESSAGE(count == 1, dataCentre);
+  for (const auto& entry : aFleet.readers()) {
+    CHECK_MESSAGE(entry.second == 1, entry.first);
   }
   CHECK(aFleet.oldestView() <= kOwnReadingAge);
 }
--- a/lib/dissemination/PeerMessages.cpp
+++ b/lib/dissemination/PeerMessages.cpp
@@ -140,8 +140,7 @@
   }
   addSeed(aNow, targets);
   std::ranges::sort(targets);
-  const auto repeated = std::ranges::unique(targets);
-  targets.erase(repeated.begin(), repeated.end());
+  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   return targets;
 }
 
