--- a/bench/Steering.cpp
+++ b/bench/Steering.cpp
@@ -32,15 +32,15 @@
   Fixture(int64_t aUpstreams, size_t aFlowPlaces)
     : m_steering(m_directory, m_placement, aFlowPlaces)
   {
-    apply({ { RecordKind::Service, "s" }, 1, registry::ServiceRecord{} });
+    apply({ { RecordKind::Service, "s" }, { .m_number = 1 }, registry::ServiceRecord{} });
     apply({ { RecordKind::Route, "r" },
-            1,
+            { .m_number = 1 },
             registry::RouteRecord{
               kRouteAddress, kRoutePort, registry::RequestKind::Idempotent, { { "s", 1 } } } });
     for (int64_t index = 1; index <= aUpstreams; ++index) {
       apply(
         { { RecordKind::Upstream, "i-" + std::to_string(index) },
-          1,
+          { .m_number = 1 },
           registry::UpstreamRecord{ .m_service = "s",
                                     .m_dataCentre = index % 4 == 0 ? "near" : "far",
                                     .m_address = Ipv4{ 0x0a000000 + static_cast<uint32_t>(index) },
@@ -48,8 +48,9 @@
                                     .m_identity = static_cast<uint64_t>(index),
                                     .m_slots = 4 } });
     }
-    m_steering.setView(
-      { .m_revision = 1, .m_confirmedAt = kStart, .m_loadedAt = kStart - Millis{ 10'000 } });
+    m_steering.setView({ .m_revision = { .m_number = 1 },
+                         .m_confirmedAt = kStart,
+                         .m_loadedAt = kStart - Millis{ 10'000 } });
   }
 
   void apply(const Change& aChange) { m_directory.apply(kStart, { &aChange, 1 }); }
--- a/lib/base/Errors.cpp
+++ b/lib/base/Errors.cpp
@@ -65,6 +65,10 @@
     "cold-limit",
     ResetNotRun,
     "Only cold upstreams are left, and their limit leaves no room on this host." },
+  { HistoryUnnamed,
+    "history-unnamed",
+    Silence,
+    "An answer of the store does not say which of its histories it is of; it is not used." },
 } };
 
 } // namespace
--- a/lib/base/Errors.h
+++ b/lib/base/Errors.h
@@ -9,7 +9,7 @@
 
 namespace tamarack {
 
-/// Everything that can go wrong with a packet or a flow.
+/// Everything that can go wrong with a packet, a flow or an answer of the store.
 enum class ErrorKind : uint8_t
 {
   PacketTruncated,
@@ -33,6 +33,7 @@
   TokenUnknown,
   UpstreamSilent,
   ColdLimit,
+  HistoryUnnamed,
 };
 
 /// What the sender of the packet is told.
@@ -55,7 +56,7 @@
   std::string_view m_meaning;
 };
 
-inline constexpr size_t kErrorKindCount = 21;
+inline constexpr size_t kErrorKindCount = 22;
 
 /// The whole table, in the order of ErrorKind.
 [[nodiscard]] std::span<const ErrorRow, kErrorKindCount>
--- a/lib/base/Events.cpp
+++ b/lib/base/Events.cpp
@@ -59,6 +59,10 @@
   { EventId::FirstReading,
     "first-reading",
     "A starting host reads the store, for no other host has handed over records." },
+  { EventId::StoreHistoryChanged,
+    "store-history-changed",
+    "The store came back from a copy without its last changes; this host decides by what it says "
+    "now." },
   { EventId::HostHeard,
     "host-heard",
     "A host answered a heartbeat for the first time since it was lost." },
--- a/lib/base/Events.h
+++ b/lib/base/Events.h
@@ -35,6 +35,7 @@
   RecordsReceived = 220,
   TransferFailed = 221,
   FirstReading = 222,
+  StoreHistoryChanged = 223,
   HostHeard = 300,
   HostLost = 301,
   HostLeaving = 302,
--- a/lib/dissemination/DisseminationTest.cpp
+++ b/lib/dissemination/DisseminationTest.cpp
@@ -21,7 +21,7 @@
 /// Numbers that take as many bytes as those of a fleet that has run for a while.
 constexpr uint32_t kFirstAddress = 0x0a400001;
 constexpr uint32_t kIncarnation = 0x9abcdef0;
-constexpr registry::Revision kRevision = 4'400'000;
+constexpr registry::Revision kRevision{ .m_history = 9, .m_number = 4'400'000 };
 
 /// Hosts, the messages between them, and a store that answers those that may reach it.
 class Fleet
--- a/lib/dissemination/FleetStartTest.cpp
+++ b/lib/dissemination/FleetStartTest.cpp
@@ -14,7 +14,7 @@
 
 constexpr Millis kStep{ 20 };
 constexpr Millis kTick{ 100 };
-constexpr registry::Revision kRevision = 4'400'000;
+constexpr registry::Revision kRevision{ .m_history = 9, .m_number = 4'400'000 };
 /// One host in so many of a data centre has half a core, the others a twentieth.
 constexpr uint32_t kStrongShare = 20;
 
--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -198,7 +198,10 @@
 void
 Peers::confirmThrough(const Peer& aPeer)
 {
-  if (aPeer.m_revision <= m_revision && aPeer.m_confirmedAt > m_confirmedAt && m_revision > 0) {
+  // A host of an earlier history cannot tell what the store has lost.
+  const bool covers = m_revision.isSet() && aPeer.m_revision <= m_revision &&
+                      aPeer.m_revision.m_history == m_revision.m_history;
+  if (covers && aPeer.m_confirmedAt > m_confirmedAt) {
     m_confirmedAt = aPeer.m_confirmedAt;
   }
 }
--- a/lib/dissemination/Status.cpp
+++ b/lib/dissemination/Status.cpp
@@ -9,7 +9,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int kVersion = 4;
+constexpr int kVersion = 5;
 /// Bits of the field that holds what is either so or not.
 constexpr uint8_t kIsReader = 1;
 constexpr uint8_t kIsLeaving = 2;
@@ -46,7 +46,8 @@
                                         aStatus.m_incarnation,
                                         aStatus.m_capacity,
                                         flags,
-                                        aStatus.m_revision,
+                                        aStatus.m_revision.m_history,
+                                        aStatus.m_revision.m_number,
                                         aStatus.m_ageMs,
                                         std::move(known),
                                         std::move(sightings),
@@ -70,13 +71,14 @@
                    .m_isReader = (flags & kIsReader) != 0,
                    .m_isLeaving = (flags & kIsLeaving) != 0,
                    .m_isAsking = (flags & kIsAsking) != 0,
-                   .m_revision = fields.at(6).get<registry::Revision>(),
-                   .m_ageMs = fields.at(7).get<int64_t>(),
+                   .m_revision = { fields.at(6).get<registry::History>(),
+                                   fields.at(7).get<uint64_t>() },
+                   .m_ageMs = fields.at(8).get<int64_t>(),
                    .m_known = {},
                    .m_nominees = {},
                    .m_sightings = {},
-                   .m_difference = fields.at(10).get_binary() };
-    const Json& known = fields.at(8);
+                   .m_difference = fields.at(11).get_binary() };
+    const Json& known = fields.at(9);
     for (size_t index = 0; index < known.size();) {
       const auto host = known.at(index++).get<uint32_t>();
       const auto traits = known.at(index++).get<uint64_t>();
@@ -87,7 +89,7 @@
           static_cast<uint32_t>(traits / 2),
           traits % 2 != 0 });
     }
-    for (const Json& sighting : fields.at(9)) {
+    for (const Json& sighting : fields.at(10)) {
       const auto sign = sighting.at(1).get<uint8_t>();
       if (sign > static_cast<uint8_t>(Sign::Refusal)) {
         return absl::InvalidArgumentError("a status with an unknown sign of an upstream");
@@ -96,7 +98,7 @@
                                      static_cast<Sign>(sign),
                                      HostId{ sighting.at(2).get<uint32_t>() } });
     }
-    for (const Json& nominee : fields.at(11)) {
+    for (const Json& nominee : fields.at(12)) {
       status.m_nominees.push_back(HostId{ nominee.get<uint32_t>() });
     }
     return status;
--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -306,6 +306,8 @@
   {
     m_counters.m_datagramsDropped = m_packets.dropped();
     m_counters.m_storeFailures = m_follower->failures();
+    m_counters.m_malformed[static_cast<size_t>(ErrorKind::HistoryUnnamed)] =
+      m_follower->unnamedHistories();
     return { m_host, m_counters, m_decisions, m_responses, readClock() };
   }
 
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -42,7 +42,7 @@
   void watch(registry::Revision aAfter, Millis aWait, Millis, ReadingHandler aDone)
   {
     m_wait = aWait;
-    m_calls.push_back("watch-" + std::to_string(aAfter));
+    m_calls.push_back("watch-" + std::to_string(aAfter.m_number));
     m_done = std::move(aDone);
   }
   void close() { m_done = nullptr; }
@@ -62,9 +62,9 @@
 Reading
 firstReading()
 {
-  Reading reading{ .m_revision = 10, .m_isSnapshot = true };
+  Reading reading{ .m_revision = { .m_number = 10 }, .m_isSnapshot = true };
   reading.m_changes.push_back({ { RecordKind::Upstream, "i-1" },
-                                3,
+                                { .m_number = 3 },
                                 registry::UpstreamRecord{ .m_service = "reports",
                                                           .m_dataCentre = "natal",
                                                           .m_address = Ipv4{ 0x0a800001 },
@@ -73,10 +73,12 @@
                                                           .m_slots = 4 } });
   reading.m_configuration = std::vector<Change>{
     { { RecordKind::Route, "r" },
-      9,
+      { .m_number = 9 },
       registry::RouteRecord{
         Ipv4{ 0xc6120001 }, 443, registry::RequestKind::Idempotent, { { "reports", 1 } } } },
-    { { RecordKind::Configuration, "" }, 9, registry::ConfigurationRecord{ 4, Millis{ 15'000 } } }
+    { { RecordKind::Configuration, "" },
+      { .m_number = 9 },
+      registry::ConfigurationRecord{ 4, Millis{ 15'000 } } }
   };
   return reading;
 }
@@ -188,7 +190,7 @@
   std::get<registry::UpstreamRecord>(*reading.m_changes[0].m_record).m_warmUpLeft =
     Millis{ 60'000 };
   reading.m_configuration->push_back({ { RecordKind::Service, "reports" },
-                                       9,
+                                       { .m_number = 9 },
                                        registry::ServiceRecord{ .m_coldRequestsPerSecond = 20 } });
   host->onReading(aNow, reading, false, aNow);
   return host;
@@ -319,12 +321,12 @@
   CHECK(fixture.m_store.m_calls.back() == "watch-10");
   // The first watch ends at once, for others wait for this host; it began 400 ms ago.
   CHECK(fixture.m_store.m_wait == kFirstWatchWait);
-  fixture.m_store.answer(Reading{ .m_revision = 10 });
+  fixture.m_store.answer(Reading{ .m_revision = { .m_number = 10 } });
   CHECK(fixture.m_host.viewAge(fixture.m_now) == Millis{ 400 } - kFirstWatchWait);
   fixture.tick(Millis{ 100 });
   CHECK(fixture.m_store.m_wait == kWatchWait);
   fixture.tick(kWatchWait);
-  fixture.m_store.answer(Reading{ .m_revision = 10 });
+  fixture.m_store.answer(Reading{ .m_revision = { .m_number = 10 } });
   CHECK(fixture.m_host.viewAge(fixture.m_now) == Millis{ 0 });
   CHECK(fixture.hasLine(EventId::RecordsLoaded));
   CHECK(fixture.hasLine(EventId::ReadingStarted));
@@ -344,7 +346,7 @@
   CHECK(fixture.m_store.m_calls.back() == "load");
   CHECK(fixture.hasLine(EventId::StoreHistoryLost));
   Reading without = firstReading();
-  without.m_revision = 20;
+  without.m_revision = { .m_number = 20 };
   without.m_changes.clear();
   fixture.m_store.answer(std::move(without));
   // The upstream may only have lapsed: it still gets flows for a while.
@@ -387,7 +389,7 @@
   step(Millis{});
   REQUIRE(store.m_done);
   dissemination::Status status = statusOf(2, "natal");
-  status.m_revision = 10;
+  status.m_revision = { .m_number = 10 };
   host.onStatus(now, status);
   CHECK(store.m_onPage({}));
   CHECK(store.m_onPage({}));
@@ -420,7 +422,7 @@
   reader.tick(Millis{ 100 });
   reader.m_store.answer(firstReading());
   Fixture cutOff;
-  cutOff.m_host.onDifference(cutOff.m_now, reader.m_host.registry().changesSince(0));
+  cutOff.m_host.onDifference(cutOff.m_now, reader.m_host.registry().changesSince({}), HostId{ 2 });
   CHECK(cutOff.m_host.isLoaded());
   CHECK(cutOff.m_host.decide(cutOff.m_now, cutOff.opening()).m_action == steering::Action::Forward);
 }
@@ -487,13 +489,13 @@
 TEST_CASE("names that are no text do not keep a host from showing its state")
 {
   Fixture fixture;
-  registry::Difference difference{ .m_revision = 12, .m_isSnapshot = true };
+  registry::Difference difference{ .m_revision = { .m_number = 12 }, .m_isSnapshot = true };
   Change change = firstReading().m_changes[0];
   change.m_key.m_name = "i-\xff\xfe";
   difference.m_changes = { change };
   const auto received = registry::decodeDifference(registry::encodeDifference(difference));
   REQUIRE(received.ok());
-  fixture.m_host.onDifference(fixture.m_now, *received);
+  fixture.m_host.onDifference(fixture.m_now, *received, HostId{ 2 });
   const ProcessCounters counters;
   const logging::Latency none;
   const ReportInputs inputs{ fixture.m_host, counters, none, none, fixture.m_now };
--- a/lib/edge/FirstRecordsTest.cpp
+++ b/lib/edge/FirstRecordsTest.cpp
@@ -29,10 +29,10 @@
 }
 
 Change
-upstream(const std::string& aName, uint64_t aIdentity, registry::Revision aRevision)
+upstream(const std::string& aName, uint64_t aIdentity, uint64_t aRevision)
 {
   return { { RecordKind::Upstream, aName },
-           aRevision,
+           { .m_number = aRevision },
            registry::UpstreamRecord{ .m_service = "reports",
                                      .m_dataCentre = "natal",
                                      .m_address = Ipv4{ 0x0a800000U + uint32_t(aIdentity) },
@@ -45,14 +45,16 @@
 Reading
 earlierReading()
 {
-  Reading reading{ .m_revision = 10, .m_isSnapshot = true };
+  Reading reading{ .m_revision = { .m_number = 10 }, .m_isSnapshot = true };
   reading.m_changes = { upstream("i-1", 1, 3), upstream("i-2", 2, 4) };
   reading.m_configuration = std::vector<Change>{
     { { RecordKind::Route, "r" },
-      9,
+      { .m_number = 9 },
       registry::RouteRecord{
         Ipv4{ 0xc6120001 }, 443, registry::RequestKind::Idempotent, { { "reports", 1 } } } },
-    { { RecordKind::Configuration, "" }, 9, registry::ConfigurationRecord{ 4, Millis{ 15'000 } } }
+    { { RecordKind::Configuration, "" },
+      { .m_number = 9 },
+      registry::ConfigurationRecord{ 4, Millis{ 15'000 } } }
   };
   return reading;
 }
@@ -62,21 +64,22 @@
 laterReading()
 {
   Reading reading = earlierReading();
-  reading.m_revision = 20;
+  reading.m_revision = { .m_number = 20 };
   reading.m_changes.pop_back();
-  reading.m_configuration = std::vector<Change>{
-    { { RecordKind::Configuration, "" }, 19, registry::ConfigurationRecord{ 5, Millis{ 15'000 } } }
-  };
+  reading.m_configuration =
+    std::vector<Change>{ { { RecordKind::Configuration, "" },
+                           { .m_number = 19 },
+                           registry::ConfigurationRecord{ 5, Millis{ 15'000 } } } };
   return reading;
 }
 
 dissemination::Status
-statusOf(uint32_t aHost, registry::Revision aRevision, int64_t aAgeMs)
+statusOf(uint32_t aHost, uint64_t aRevision, int64_t aAgeMs)
 {
   return { .m_sender = HostId{ aHost },
            .m_dataCentre = "natal",
            .m_incarnation = 1,
-           .m_revision = aRevision,
+           .m_revision = { .m_number = aRevision },
            .m_ageMs = aAgeMs };
 }
 
@@ -160,14 +163,14 @@
   Host host(optionsOf(3));
   host.tick(kStart);
   host.onStatus(kStart, statusOf(4, 10, 30'000));
-  host.onDifference(kStart, cutOff.registry().changesSince(0));
+  host.onDifference(kStart, cutOff.registry().changesSince({}), HostId{ 2 });
   host.onStatus(kStart, statusOf(5, 20, 100));
   CHECK(host.viewAge(kStart) >= Millis{ 30'000 });
 
   // The rest of the history, and a late second copy of the old snapshot.
-  host.onDifference(kStart, current.registry().changesSince(10));
-  host.onDifference(kStart, cutOff.registry().changesSince(0));
-  CHECK(host.registry().complete() == 20);
+  host.onDifference(kStart, current.registry().changesSince({ .m_number = 10 }), HostId{ 2 });
+  host.onDifference(kStart, cutOff.registry().changesSince({}), HostId{ 2 });
+  CHECK(host.registry().complete().m_number == 20);
   CHECK(host.viewAge(kStart) <= Millis{ 100 });
   CHECK(host.directory().findRoute(Ipv4{ 0xc6120001 }, 443) == nullptr);
   CHECK(host.decide(kStart, opening()).m_action == steering::Action::Reset);
@@ -177,9 +180,9 @@
 
   // The other way round: a host that holds newer records ignores an older snapshot.
   Host newer(optionsOf(3));
-  newer.onDifference(kStart, current.registry().changesSince(0));
-  newer.onDifference(kStart, cutOff.registry().changesSince(0));
-  CHECK(newer.registry().complete() == 20);
+  newer.onDifference(kStart, current.registry().changesSince({}), HostId{ 2 });
+  newer.onDifference(kStart, cutOff.registry().changesSince({}), HostId{ 2 });
+  CHECK(newer.registry().complete().m_number == 20);
   CHECK(newer.decide(kStart, opening()).m_action != steering::Action::Forward);
 }
 
@@ -190,7 +193,7 @@
   Host host(optionsOf(3));
   host.tick(kStart);
   host.onStatus(kStart, statusOf(4, 10, 100));
-  host.onDifference(kStart, neighbour.registry().changesSince(0));
+  host.onDifference(kStart, neighbour.registry().changesSince({}), HostId{ 2 });
   CHECK(host.isLoaded());
   CHECK(host.viewAge(kStart) == Millis{ 100 });
   CHECK(host.decide(kStart, opening()).m_action == steering::Action::Forward);
@@ -200,9 +203,11 @@
     return std::ranges::count(host.takeLines(kStart), aEvent, &Line::m_event);
   };
   CHECK(logged(EventId::UpstreamRegistered) == 0);
-  neighbour.onReading(
-    kStart, { .m_revision = 11, .m_changes = { upstream("i-3", 3, 11) } }, false, kStart);
-  host.onDifference(kStart, neighbour.registry().changesSince(10));
+  neighbour.onReading(kStart,
+                      { .m_revision = { .m_number = 11 }, .m_changes = { upstream("i-3", 3, 11) } },
+                      false,
+                      kStart);
+  host.onDifference(kStart, neighbour.registry().changesSince({ .m_number = 10 }), HostId{ 2 });
   CHECK(logged(EventId::UpstreamRegistered) == 1);
 }
 
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -52,7 +52,10 @@
   for (const std::string& refused : aReading.m_refused) {
     note(EventId::RecordRefused, "item=\"" + refused + "\"");
   }
-  onChanges(aNow, m_registry.merge(aReading, aIsDisturbed));
+  const registry::Revision before = m_registry.complete();
+  const auto changes = m_registry.merge(aReading, aIsDisturbed);
+  onChanges(aNow, changes);
+  noteHistory(before, changes.size(), "store");
   m_peers.onRevision(m_registry.complete());
   if (aConfirmedAt != TimePoint{}) {
     m_peers.onOwnConfirmation(aConfirmedAt);
@@ -90,9 +93,12 @@
 }
 
 void
-Host::onDifference(TimePoint aNow, const registry::Difference& aDifference)
+Host::onDifference(TimePoint aNow, const registry::Difference& aDifference, HostId aFrom)
 {
-  onChanges(aNow, m_registry.merge(aDifference));
+  const registry::Revision before = m_registry.complete();
+  const auto changes = m_registry.merge(aDifference);
+  onChanges(aNow, changes);
+  noteHistory(before, changes.size(), formatHost(aFrom));
   m_peers.onRevision(m_registry.complete());
   refreshView(aNow);
 }
@@ -104,7 +110,7 @@
   if (m_loadedAt == TimePoint{} && isLoaded()) {
     m_loadedAt = aNow;
     note(EventId::RecordsLoaded,
-         "revision=" + std::to_string(m_registry.complete()) +
+         "revision=" + registry::formatRevision(m_registry.complete()) +
            " records=" + std::to_string(m_registry.size()));
   }
   m_directory.apply(aNow, aChanges);
@@ -116,7 +122,7 @@
   if (!aStatus.m_difference.empty()) {
     const auto difference = registry::decodeDifference(aStatus.m_difference);
     if (difference.ok()) {
-      onDifference(aNow, *difference);
+      onDifference(aNow, *difference, aStatus.m_sender);
     } else {
       note(EventId::RecordRefused,
            "host=" + formatHost(aStatus.m_sender) + " item=\"" +
@@ -125,7 +131,7 @@
   }
   const dissemination::Reaction reaction = m_peers.onStatus(aNow, aStatus, m_registry.complete());
   if (!isLoaded()) {
-    m_firstRecords.onAnswer(aStatus.m_revision > 0);
+    m_firstRecords.onAnswer(aStatus.m_revision.isSet());
   }
   for (const dissemination::Sighting& sighting : aStatus.m_sightings) {
     onSighting(aNow, sighting);
@@ -216,6 +222,20 @@
   }
 }
 
+void
+Host::noteHistory(registry::Revision aBefore, size_t aChanges, std::string_view aFrom)
+{
+  const registry::Revision now = m_registry.complete();
+  if (!aBefore.isSet() || aBefore.m_history == now.m_history) {
+    return;
+  }
+  ++m_historyChanges;
+  note(EventId::StoreHistoryChanged,
+       "before=" + registry::formatRevision(aBefore) +
+         " revision=" + registry::formatRevision(now) + " changes=" + std::to_string(aChanges) +
+         " held_back=" + std::to_string(m_directory.heldBack()) + " from=" + std::string(aFrom));
+}
+
 void
 Host::refreshView(TimePoint aNow)
 {
@@ -226,7 +246,7 @@
   if (isStale != m_isViewStale && aNow - m_loadedAt > steering::kTrustedViewAge) {
     m_isViewStale = isStale;
     note(isStale ? EventId::ViewStale : EventId::ViewFresh,
-         "revision=" + std::to_string(m_registry.complete()) +
+         "revision=" + registry::formatRevision(m_registry.complete()) +
            " view_age_ms=" + std::to_string(viewAge(aNow).count()));
   }
 }
@@ -295,7 +315,7 @@
 {
   collectSightings();
   aStatus.m_sightings = m_sightings;
-  if (m_isReader && m_pushedRevision > 0 && m_pushedRevision < m_registry.complete()) {
+  if (m_isReader && m_pushedRevision.isSet() && m_pushedRevision < m_registry.complete()) {
     std::vector<uint8_t> difference =
       registry::encodeDifference(m_registry.changesSince(m_pushedRevision));
     if (difference.size() <= kInlineDifferenceBytes) {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -54,7 +54,7 @@
                  TimePoint aConfirmedAt);
   /// Takes a page of the first answer in, so that open flows can be served.
   void onPage(TimePoint aNow, const registry::Reading& aPage);
-  void onDifference(TimePoint aNow, const registry::Difference& aDifference);
+  void onDifference(TimePoint aNow, const registry::Difference& aDifference, HostId aFrom);
   dissemination::Reaction onStatus(TimePoint aNow, const dissemination::Status& aStatus);
   void tick(TimePoint aNow);
   /// Something that this host came to believe, for the log.
@@ -80,7 +80,7 @@
   [[nodiscard]] bool isFirstReadingDue(TimePoint aNow);
   [[nodiscard]] FirstRecords& firstRecords() { return m_firstRecords; }
   /// Whether the host knows routes and upstreams.
-  [[nodiscard]] bool isLoaded() const { return m_registry.complete() > 0; }
+  [[nodiscard]] bool isLoaded() const { return m_registry.complete().isSet(); }
   [[nodiscard]] bool isReader() const { return m_isReader; }
   [[nodiscard]] const std::string& dataCentre() const { return m_dataCentre; }
   [[nodiscard]] Millis viewAge(TimePoint aNow) const;
@@ -92,11 +92,15 @@
   [[nodiscard]] const dissemination::Peers& peers() const { return m_peers; }
   [[nodiscard]] steering::TokenSteering& steering() { return m_steering; }
   [[nodiscard]] const steering::TokenSteering& steering() const { return m_steering; }
+  /// How often the store came back without what it had acknowledged.
+  [[nodiscard]] uint64_t historyChanges() const { return m_historyChanges; }
   [[nodiscard]] uint64_t omittedLines() const { return m_omittedLines; }
 
 private:
   [[nodiscard]] std::vector<uint8_t> encode(dissemination::Status aStatus);
   void onChanges(TimePoint aNow, std::span<const registry::Change> aChanges);
+  /// Logs a new history of the store, when the merge of `aChanges` records began one.
+  void noteHistory(registry::Revision aBefore, size_t aChanges, std::string_view aFrom);
   void refreshView(TimePoint aNow);
   void takeFlowLines(TimePoint aNow, std::vector<Line>& aLines);
   void collectSightings();
@@ -123,6 +127,7 @@
   bool m_isReader{};
   bool m_isViewStale{};
   RateLimit m_flowLines{ kFlowLinesPerSecond, kFlowLineBurst };
+  uint64_t m_historyChanges{};
   uint64_t m_omittedLines{};
   uint64_t m_reportedOmittedLines{};
 };
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -139,7 +139,9 @@
     m_host.firstRecords().onTransferBegun(aNow);
   }
   transport::Request request{ .m_method = "GET", .m_path = "/changes" };
-  request.m_query["since"] = std::to_string(m_host.registry().complete());
+  const registry::Revision base = m_host.registry().mergeBase();
+  request.m_query["history"] = std::to_string(base.m_history);
+  request.m_query["since"] = std::to_string(base.m_number);
   m_pull->request(
     request, kPullDeadline, [this, aNow, aAgeMs](const transport::Response& aResponse) {
       m_isPulling = false;
@@ -177,12 +179,13 @@
     m_host.note(EventId::TransferFailed, describe(std::string(difference.status().message())));
     return;
   }
-  m_host.onDifference(now, *difference);
+  m_host.onDifference(now, *difference, m_pulledHost);
   if (isFirst) {
     m_host.note(EventId::RecordsReceived,
                 "host=" + formatHost(m_pulledHost) +
-                  " revision=" + std::to_string(difference->m_revision) + " view_age_ms=" +
-                  std::to_string(aAgeMs) + " bytes=" + std::to_string(aResponse.m_body.size()) +
+                  " revision=" + registry::formatRevision(difference->m_revision) +
+                  " view_age_ms=" + std::to_string(aAgeMs) +
+                  " bytes=" + std::to_string(aResponse.m_body.size()) +
                   " time_ms=" + std::to_string((now - aBegunAt).count()));
   }
   if (m_onRecords) {
@@ -194,7 +197,7 @@
 PeerLink::snapshot()
 {
   if (m_snapshotRevision != m_host.registry().complete() || m_snapshot.empty()) {
-    const auto bytes = registry::encodeDifference(m_host.registry().changesSince(0));
+    const auto bytes = registry::encodeDifference(m_host.registry().changesSince({}));
     m_snapshot.assign(bytes.begin(), bytes.end());
     m_snapshotRevision = m_host.registry().complete();
   }
@@ -205,13 +208,18 @@
 PeerLink::onRequest(const transport::Request& aRequest)
 {
   if (aRequest.m_path == "/changes") {
-    const uint64_t since = transport::numberOf(aRequest, "since");
-    if (since == 0) {
+    const registry::Revision since{ .m_history = transport::numberOf(aRequest, "history"),
+                                    .m_number = transport::numberOf(aRequest, "since") };
+    if (!since.isSet()) {
       // A host that gets none reads the store, which has more room.
       const bool hasRoom = m_host.isLoaded() && m_snapshots.take(readClock());
       return hasRoom ? transport::Response{ .m_status = 200, .m_body = snapshot() }
                      : transport::Response{ .m_status = 503, .m_body = "busy\n" };
     }
+    if (since < m_host.registry().floor()) {
+      // After a new history of the store, all hosts of the data centre ask for everything.
+      return { .m_status = 200, .m_body = snapshot() };
+    }
     const auto bytes = registry::encodeDifference(m_host.registry().changesSince(since));
     return { .m_status = 200, .m_body = { bytes.begin(), bytes.end() } };
   }
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -96,6 +96,8 @@
   /// Called after each answer.
   void onAnswer(std::function<void()> aHandler) { m_onAnswer = std::move(aHandler); }
   [[nodiscard]] uint64_t failures() const { return m_failures; }
+  /// Answers that did not say which history they are of.
+  [[nodiscard]] uint64_t unnamedHistories() const { return m_unnamedHistories; }
 
 private:
   /// Pages of the first load serve packets before everything is there. For the call whose handler
@@ -128,6 +130,9 @@
     m_isBusy = false;
     if (absl::IsCancelled(aReading.status())) {
       m_nextAt = aNow;
+    } else if (absl::IsAborted(aReading.status())) {
+      m_disturbedAt = aNow;
+      m_nextAt = m_startedAt + kCallInterval;
     } else if (!aReading.ok()) {
       onFailure(aNow, aReading.status());
     } else {
@@ -142,7 +147,15 @@
     m_nextAt = m_startedAt + kCallInterval;
     if (std::exchange(m_isLost, false)) {
       m_disturbedAt = aNow;
-      m_host.note(EventId::StoreRegained, "revision=" + std::to_string(aReading.m_revision));
+      m_host.note(EventId::StoreRegained,
+                  "revision=" + registry::formatRevision(aReading.m_revision));
+    }
+    if (aWasWatch && m_host.registry().isSuperseded(aReading)) {
+      // Its revisions are of another history: only a reading of everything tells what was lost.
+      m_disturbedAt = aNow;
+      m_needsEverything = true;
+      m_nextAt = aNow;
+      return;
     }
     const bool isEmptyWatch =
       aWasWatch && aReading.m_changes.empty() && !aReading.m_configuration.has_value();
@@ -166,10 +179,11 @@
       m_needsEverything = true;
       m_nextAt = aNow;
       m_host.note(EventId::StoreHistoryLost,
-                  "revision=" + std::to_string(m_host.registry().complete()));
+                  "revision=" + registry::formatRevision(m_host.registry().complete()));
       return;
     }
     ++m_failures;
+    m_unnamedHistories += absl::IsFailedPrecondition(aStatus) ? 1 : 0;
     m_retry = m_retry == Millis{} ? kFirstRetry : std::min(m_retry * 2, kLastRetry);
     m_nextAt = aNow + m_retry;
     if (!std::exchange(m_isLost, true)) {
@@ -200,6 +214,7 @@
   TimePoint m_disturbedAt;
   Millis m_retry{};
   uint64_t m_failures{};
+  uint64_t m_unnamedHistories{};
 };
 
 } // namespace tamarack::edge
--- a/lib/registry/RecordCodec.cpp
+++ b/lib/registry/RecordCodec.cpp
@@ -102,29 +102,36 @@
   return upstreamOf(aFields);
 }
 
+/// A change names its history only where that differs from the difference's.
 Json
-encodeChange(const Change& aChange)
+encodeChange(const Change& aChange, History aHistory)
 {
   Json fields = nullptr;
   if (aChange.m_record) {
     fields = std::visit([](const auto& aRecord) { return fieldsOf(aRecord); }, *aChange.m_record);
   }
-  return Json::array({ static_cast<int>(aChange.m_key.m_kind),
-                       aChange.m_key.m_name,
-                       aChange.m_revision,
-                       std::move(fields),
-                       aChange.m_mayReturn });
+  Json encoded = Json::array({ static_cast<int>(aChange.m_key.m_kind),
+                               aChange.m_key.m_name,
+                               aChange.m_revision.m_number,
+                               std::move(fields),
+                               aChange.m_mayReturn });
+  if (aChange.m_revision.m_history != aHistory) {
+    encoded.push_back(aChange.m_revision.m_history);
+  }
+  return encoded;
 }
 
 Change
-decodeChange(const Json& aFields)
+decodeChange(const Json& aFields, History aHistory)
 {
   const int kind = aFields.at(0).get<int>();
   if (kind < 0 || kind > static_cast<int>(RecordKind::Upstream)) {
     throw std::out_of_range("a record of an unknown kind");
   }
   Change change{ .m_key = { static_cast<RecordKind>(kind), aFields.at(1).get<std::string>() },
-                 .m_revision = aFields.at(2).get<Revision>(),
+                 .m_revision = { .m_history =
+                                   aFields.size() > 5 ? aFields.at(5).get<History>() : aHistory,
+                                 .m_number = aFields.at(2).get<uint64_t>() },
                  .m_record = std::nullopt,
                  .m_mayReturn = aFields.at(4).get<bool>() };
   if (!aFields.at(3).is_null()) {
@@ -140,10 +147,14 @@
 {
   Json changes = Json::array();
   for (const Change& change : aDifference.m_changes) {
-    changes.push_back(encodeChange(change));
+    changes.push_back(encodeChange(change, aDifference.m_revision.m_history));
   }
-  return Json::to_msgpack(Json::array(
-    { aDifference.m_base, aDifference.m_revision, aDifference.m_isSnapshot, std::move(changes) }));
+  return Json::to_msgpack(Json::array({ aDifference.m_base.m_history,
+                                        aDifference.m_base.m_number,
+                                        aDifference.m_revision.m_history,
+                                        aDifference.m_revision.m_number,
+                                        aDifference.m_isSnapshot,
+                                        std::move(changes) }));
 }
 
 absl::StatusOr<Difference>
@@ -151,12 +162,14 @@
 {
   try {
     const Json fields = Json::from_msgpack(aBytes.begin(), aBytes.end());
-    Difference difference{ .m_base = fields.at(0).get<Revision>(),
-                           .m_revision = fields.at(1).get<Revision>(),
-                           .m_isSnapshot = fields.at(2).get<bool>(),
-                           .m_changes = {} };
-    for (const Json& change : fields.at(3)) {
-      difference.m_changes.push_back(decodeChange(change));
+    Difference difference{
+      .m_base = { fields.at(0).get<History>(), fields.at(1).get<uint64_t>() },
+      .m_revision = { fields.at(2).get<History>(), fields.at(3).get<uint64_t>() },
+      .m_isSnapshot = fields.at(4).get<bool>(),
+      .m_changes = {},
+    };
+    for (const Json& change : fields.at(5)) {
+      difference.m_changes.push_back(decodeChange(change, difference.m_revision.m_history));
     }
     return difference;
   } catch (const std::exception& error) {
--- a/lib/registry/Records.h
+++ b/lib/registry/Records.h
@@ -13,8 +13,29 @@
 
 namespace tamarack::registry {
 
-/// The platform's counter of changes.
-using Revision = uint64_t;
+/// Names one history of the store. It rises when the store comes back from a copy, without what was
+/// written after the copy was made; 0 when the store names none.
+using History = uint64_t;
+
+/// A point in what the store wrote. Numbers are given out again in a later history, which is newer
+/// as a whole.
+struct Revision
+{
+  History m_history{};
+  /// The store's counter of changes; 0 before the first reading.
+  uint64_t m_number{};
+
+  [[nodiscard]] bool isSet() const { return m_number != 0; }
+  friend auto operator<=>(const Revision&, const Revision&) = default;
+};
+
+/// As logs and dumps write it: the number, with the history before it if the store names one.
+[[nodiscard]] inline std::string
+formatRevision(Revision aRevision)
+{
+  const std::string number = std::to_string(aRevision.m_number);
+  return aRevision.m_history == 0 ? number : std::to_string(aRevision.m_history) + ":" + number;
+}
 
 enum class UpstreamState : uint8_t
 {
@@ -124,6 +145,9 @@
   /// The removal happened while the store was disturbed, so the upstream may be alive and come
   /// back.
   bool m_mayReturn{};
+  /// Came with a new history, so it may be older than what was known before. Of a change that a
+  /// merge returned; not told to other hosts, which find out for themselves.
+  bool m_isRestored{};
 };
 
 /// One answer of the store.
--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -34,13 +34,27 @@
          aKind == RecordKind::Route;
 }
 
-/// The revision of the configuration that a difference holds; 0 when it holds none.
-Revision
-configurationRevisionOf(const Difference& aDifference)
+/// The change that names the version of a configuration; null when there is none.
+const Change*
+findConfiguration(const std::vector<Change>& aChanges)
+{
+  const auto found =
+    std::ranges::find(aChanges, RecordKey{ RecordKind::Configuration, {} }, &Change::m_key);
+  return found == aChanges.end() || !found->m_record ? nullptr : &*found;
+}
+
+uint64_t
+versionOf(const Change& aConfiguration)
 {
-  const auto found = std::ranges::find(
-    aDifference.m_changes, RecordKey{ RecordKind::Configuration, {} }, &Change::m_key);
-  return found == aDifference.m_changes.end() ? 0 : found->m_revision;
+  return std::get<ConfigurationRecord>(*aConfiguration.m_record).m_version;
+}
+
+void
+markRestored(std::vector<Change>& aChanges, bool aIsRestored)
+{
+  for (Change& change : aChanges) {
+    change.m_isRestored = aIsRestored;
+  }
 }
 
 } // namespace
@@ -95,24 +109,27 @@
 Registry::takeConfiguration(const std::vector<Change>& aConfiguration,
                             std::vector<Change>& aChanged)
 {
-  if (aConfiguration.empty()) {
+  const Change* const configuration = findConfiguration(aConfiguration);
+  if (configuration == nullptr) {
     return;
   }
-  const Revision revision = aConfiguration.front().m_revision;
+  const Revision revision = configuration->m_revision;
   const Revision held = configurationRevision();
-  if (held >= revision) {
+  if (held == revision || isConfigurationOld(revision, versionOf(*configuration))) {
     return;
   }
-  if (held == 0) {
+  const bool isOtherHistory = held.m_history != revision.m_history;
+  if (!held.isSet() || isOtherHistory) {
     // What this configuration dropped is not known here, also when the other records are older.
     m_floor = std::max(m_floor, revision);
   }
   std::set<RecordKey> present;
   for (const Change& change : aConfiguration) {
     present.insert(change.m_key);
-    // A record that did not change keeps its revision, so differences follow the change.
+    // A record that did not change keeps its revision, so differences follow the change. One of an
+    // earlier history would be missing in them.
     const auto found = m_records.find(change.m_key);
-    if (found != m_records.end() && found->second.m_record == change.m_record &&
+    if (found != m_records.end() && found->second.m_record == change.m_record && !isOtherHistory &&
         change.m_key.m_kind != RecordKind::Configuration) {
       continue;
     }
@@ -133,15 +150,23 @@
 Registry::merge(const Reading& aReading, bool aIsDisturbed)
 {
   std::vector<Change> changed;
-  if (aReading.m_isSnapshot && aReading.m_revision < m_complete) {
-    // An answer from the past: what it lacks may have been added since.
+  const bool isOfThePast =
+    aReading.m_isSnapshot
+      ? aReading.m_revision < m_complete
+      : aReading.m_revision.isSet() && aReading.m_revision.m_history < m_complete.m_history;
+  const bool isRestored = isSuperseded(aReading);
+  if (isOfThePast || (isRestored && !aReading.m_isSnapshot)) {
+    // What an answer from the past lacks may have been added since; what the store has lost shows
+    // only in a reading of everything.
     return changed;
   }
+  // An upstream whose registration was lost registers again.
+  const bool mayReturn = aIsDisturbed || isRestored;
   std::set<RecordKey> present;
   for (const Change& change : aReading.m_changes) {
     present.insert(change.m_key);
     Change taken = change;
-    taken.m_mayReturn = !change.m_record && aIsDisturbed;
+    taken.m_mayReturn = !change.m_record && mayReturn;
     if (take(taken)) {
       changed.push_back(std::move(taken));
     }
@@ -155,14 +180,15 @@
         return isOfConfiguration(aKey.m_kind) || present.contains(aKey);
       },
       aReading.m_revision,
-      aIsDisturbed,
+      mayReturn,
       changed);
-    if (m_complete == 0) {
+    if (!m_complete.isSet() || isRestored) {
       m_floor = std::max(m_floor, aReading.m_revision);
     }
   }
   m_complete = std::max(m_complete, aReading.m_revision);
   forgetOldRemovals();
+  markRestored(changed, isRestored);
   return changed;
 }
 
@@ -170,35 +196,50 @@
 Registry::merge(const Difference& aDifference)
 {
   std::vector<Change> changed;
-  if (!aDifference.m_isSnapshot && aDifference.m_base > m_complete) {
+  const bool isRestored =
+    m_complete.isSet() && aDifference.m_revision.m_history > m_complete.m_history;
+  const bool isIncomplete =
+    !aDifference.m_isSnapshot && (aDifference.m_base > m_complete || isRestored);
+  const bool isOfThePast = aDifference.m_isSnapshot
+                             ? aDifference.m_revision < m_complete
+                             : aDifference.m_revision.m_history < m_complete.m_history;
+  if (isIncomplete || isOfThePast) {
     return changed;
   }
-  if (aDifference.m_isSnapshot && aDifference.m_revision < m_complete) {
+  const Change* const told = findConfiguration(aDifference.m_changes);
+  const Revision held = configurationRevision();
+  if (!aDifference.m_isSnapshot && told != nullptr && held.isSet() &&
+      held.m_history != told->m_revision.m_history) {
+    // It says what changed since a configuration that this host does not hold.
+    m_needsEverything = true;
     return changed;
   }
   // Routes of an older configuration than the one that is held may have been dropped since, which
   // nothing would tell this host once more.
-  const Revision told = configurationRevisionOf(aDifference);
-  const bool isConfigurationOld = told < configurationRevision();
+  const bool isOld =
+    told == nullptr ? held.isSet() : isConfigurationOld(told->m_revision, versionOf(*told));
+  const bool isVersionOld = told != nullptr && versionOf(*told) < configurationVersion();
   std::set<RecordKey> present;
   for (const Change& change : aDifference.m_changes) {
     present.insert(change.m_key);
-    const bool isOld =
-      isConfigurationOld && isOfConfiguration(change.m_key.m_kind) && change.m_record.has_value();
-    if (!isOld && take(change)) {
+    const bool isLeftOut = isOfConfiguration(change.m_key.m_kind) &&
+                           (isVersionOld || (isOld && change.m_record.has_value()));
+    if (!isLeftOut && take(change)) {
       changed.push_back(change);
     }
   }
   if (aDifference.m_isSnapshot) {
     const auto isKept = [&](const RecordKey& aKey) {
-      return present.contains(aKey) || (isConfigurationOld && isOfConfiguration(aKey.m_kind));
+      return present.contains(aKey) || (isOld && isOfConfiguration(aKey.m_kind));
     };
-    removeMissing(isKept, aDifference.m_revision, false, changed);
+    removeMissing(isKept, aDifference.m_revision, isRestored, changed);
     // The sender forgot removals before this revision, and so did we.
     m_floor = std::max(m_floor, aDifference.m_revision);
+    m_needsEverything = false;
   }
   m_complete = std::max(m_complete, aDifference.m_revision);
   forgetOldRemovals();
+  markRestored(changed, isRestored);
   return changed;
 }
 
@@ -224,7 +265,13 @@
 Registry::configurationRevision() const
 {
   const auto found = m_records.find({ RecordKind::Configuration, {} });
-  return found == m_records.end() ? 0 : found->second.m_revision;
+  return found == m_records.end() ? Revision{} : found->second.m_revision;
+}
+
+bool
+Registry::isConfigurationOld(Revision aRevision, uint64_t aVersion) const
+{
+  return aRevision < configurationRevision() || aVersion < configurationVersion();
 }
 
 uint64_t
--- a/lib/registry/Registry.h
+++ b/lib/registry/Registry.h
@@ -1,5 +1,9 @@
 // The versioned records of one host. Hosts that merge the same changes in any order hold the same
 // records, and any host can tell another what changed since a revision.
+//
+// A new history of the store is taken as a whole, from a reading or a difference that holds
+// everything. Only the configuration is kept while that of the new history has a lower version: no
+// host goes back to an older version in one run of its process.
 #pragma once
 
 #include "registry/Records.h"
@@ -32,8 +36,16 @@
   /// What a host that holds everything up to a revision lacks.
   [[nodiscard]] Difference changesSince(Revision aRevision) const;
 
-  /// All changes up to this revision are merged; 0 before the first reading.
+  /// All changes up to this revision are merged; not set before the first reading.
   [[nodiscard]] Revision complete() const { return m_complete; }
+  /// What to ask another host for changes since; not set when everything is needed.
+  [[nodiscard]] Revision mergeBase() const { return m_needsEverything ? Revision{} : m_complete; }
+  /// Whether an answer of the store is of a later history than the records, which only a reading
+  /// of everything can take in.
+  [[nodiscard]] bool isSuperseded(const Reading& aReading) const
+  {
+    return m_complete.isSet() && aReading.m_revision.m_history > m_complete.m_history;
+  }
   /// Removals are remembered from this revision on.
   [[nodiscard]] Revision floor() const { return m_floor; }
   [[nodiscard]] uint64_t configurationVersion() const;
@@ -47,8 +59,10 @@
     bool m_mayReturn{};
   };
 
-  /// When the configuration that is held was written; 0 when none is.
+  /// When the configuration that is held was written; not set when none is.
   [[nodiscard]] Revision configurationRevision() const;
+  /// Whether a configuration is older than the one that is held.
+  [[nodiscard]] bool isConfigurationOld(Revision aRevision, uint64_t aVersion) const;
   /// Takes a change that is newer than what is held. Returns whether the record differs.
   bool take(const Change& aChange);
   void takeConfiguration(const std::vector<Change>& aConfiguration, std::vector<Change>& aChanged);
@@ -64,6 +78,8 @@
   size_t m_removals{};
   Revision m_complete{};
   Revision m_floor{};
+  /// The configuration that is held was lost by the store, and a newer one builds on another.
+  bool m_needsEverything{};
 };
 
 } // namespace tamarack::registry
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -77,7 +77,7 @@
   const auto& record = std::get<registry::ConfigurationRecord>(*aChange.m_record);
   m_beliefs.push_back({ EventId::ConfigurationInForce,
                         "version=" + std::to_string(record.m_version) +
-                          " revision=" + std::to_string(aChange.m_revision) });
+                          " revision=" + registry::formatRevision(aChange.m_revision) });
 }
 
 void
@@ -118,13 +118,31 @@
 {
   const std::string& name = aChange.m_key.m_name;
   const bool isOut = aChange.m_record.has_value();
-  m_isOut[name] = isOut;
+  if (aChange.m_isRestored && !isOut) {
+    m_backAt[name] = aNow + kLostOrderWait;
+    return;
+  }
+  m_backAt.erase(name);
+  const auto held = m_isOut.find(name);
+  if (held != m_isOut.end() && held->second == isOut) {
+    return;
+  }
+  setDataCentreOut(aNow, name, isOut);
+  m_beliefs.push_back(
+    { isOut ? EventId::DataCentreOut : EventId::DataCentreBack,
+      "data_centre=" + name + " revision=" + registry::formatRevision(aChange.m_revision) });
+}
+
+void
+Directory::setDataCentreOut(TimePoint aNow, const std::string& aName, bool aIsOut)
+{
+  m_isOut[aName] = aIsOut;
   for (const auto& upstream : m_upstreams) {
-    if (upstream->m_record.m_dataCentre != name) {
+    if (upstream->m_record.m_dataCentre != aName) {
       continue;
     }
-    upstream->m_isOut = isOut;
-    if (isOut) {
+    upstream->m_isOut = aIsOut;
+    if (aIsOut) {
       continue;
     }
     // Upstreams that had no load may have turned cold and not have said so yet.
@@ -132,9 +150,6 @@
     const Millis warmUp = service != nullptr ? service->m_record.m_warmUp : Millis{};
     upstream->m_coldUntil = std::max(upstream->m_coldUntil, aNow + warmUp + kColdReportDelay);
   }
-  m_beliefs.push_back(
-    { isOut ? EventId::DataCentreOut : EventId::DataCentreBack,
-      "data_centre=" + name + " revision=" + std::to_string(aChange.m_revision) });
 }
 
 void
@@ -142,6 +157,9 @@
 {
   const auto found = m_byName.find(aChange.m_key.m_name);
   Upstream* held = found == m_byName.end() ? nullptr : found->second;
+  if (held != nullptr) {
+    held->m_restored.reset();
+  }
   if (!aChange.m_record) {
     if (held == nullptr || held->m_presence != Presence::Registered) {
       return;
@@ -154,6 +172,9 @@
     return;
   }
   const auto& record = std::get<UpstreamRecord>(*aChange.m_record);
+  if (held != nullptr && aChange.m_isRestored && isDoubted(aNow, *held, record)) {
+    return;
+  }
   const bool isSameStart = held != nullptr && held->m_record.m_identity == record.m_identity &&
                            held->m_record.m_startedAtMs == record.m_startedAtMs &&
                            held->m_record.m_service == record.m_service;
@@ -167,6 +188,56 @@
   addUpstream(aNow, aChange.m_key.m_name, record);
 }
 
+bool
+Directory::isDoubted(TimePoint aNow, Upstream& aHeld, const UpstreamRecord& aRecord)
+{
+  if (aRecord.m_startedAtMs < aHeld.m_record.m_startedAtMs) {
+    // The entry of the present start was lost.
+    if (aHeld.m_presence == Presence::Registered) {
+      setAbsent(aNow, aHeld, Presence::Lapsed);
+    }
+    return true;
+  }
+  const bool isSameStart = aHeld.m_record.m_startedAtMs == aRecord.m_startedAtMs &&
+                           aHeld.m_record.m_identity == aRecord.m_identity;
+  const bool wasOver =
+    aHeld.m_presence != Presence::Registered || aHeld.m_record.m_state == UpstreamState::Draining;
+  if (!isSameStart || !wasOver || aRecord.m_state == UpstreamState::Draining) {
+    return false;
+  }
+  aHeld.m_restored = aRecord;
+  aHeld.m_restoredAt = aNow;
+  return true;
+}
+
+void
+Directory::settleRestored(TimePoint aNow)
+{
+  for (const auto& upstream : m_upstreams) {
+    if (upstream->m_restored && aNow - upstream->m_restoredAt >= kRestoredEntryWait) {
+      const UpstreamRecord record = *std::exchange(upstream->m_restored, std::nullopt);
+      update(aNow, *upstream, record);
+    }
+  }
+  absl::erase_if(m_backAt, [&](const auto& aEntry) {
+    const bool isDue = aNow >= aEntry.second;
+    if (isDue) {
+      setDataCentreOut(aNow, aEntry.first, false);
+      m_beliefs.push_back(
+        { EventId::DataCentreBack, "data_centre=" + aEntry.first + " reason=order-lost" });
+    }
+    return isDue;
+  });
+}
+
+size_t
+Directory::heldBack() const
+{
+  return m_backAt.size() +
+         static_cast<size_t>(std::ranges::count_if(
+           m_upstreams, [](const auto& aUpstream) { return aUpstream->m_restored.has_value(); }));
+}
+
 void
 Directory::addUpstream(TimePoint aNow, const std::string& aName, const UpstreamRecord& aRecord)
 {
@@ -250,6 +321,7 @@
 {
   const double passed = static_cast<double>((aNow - m_lastTick).count());
   m_lastTick = aNow;
+  settleRestored(aNow);
   std::vector<Upstream*> forgotten;
   for (const auto& upstream : m_upstreams) {
     const Millis absent = aNow - upstream->m_absentSince;
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -20,6 +20,12 @@
 /// An upstream whose entry lapsed while the store was away is back within two seconds of its
 /// return.
 inline constexpr Millis kLapseGrace{ 2500 };
+/// After a new history of the store, an entry that contradicts what was known is believed when it
+/// has stood for three heartbeats of 1.2 s: nobody renews that of an upstream that is gone.
+inline constexpr Millis kRestoredEntryWait{ 4000 };
+/// A data centre that was taken out stays out for so long when the store lost the order, which
+/// operators give again.
+inline constexpr Millis kLostOrderWait{ 10'000 };
 /// Flows older than this may be dropped, so a token is forgotten this long after its upstream.
 inline constexpr Millis kRememberGone{ 60'000 };
 /// An upstream reports that it has turned cold with its next heartbeat, 1.2 s later at most.
@@ -64,6 +70,10 @@
   bool m_isOut{};
   /// Another upstream with the same token came first; this one gets no flows.
   bool m_isShadowed{};
+  /// An entry of a new history that says the upstream goes on, though it drained or left. Taken at
+  /// m_restoredAt + kRestoredEntryWait, unless another change comes first.
+  std::optional<registry::UpstreamRecord> m_restored;
+  TimePoint m_restoredAt;
 
   [[nodiscard]] bool isCold(TimePoint aNow) const { return aNow < m_coldUntil; }
   /// Whether new flows may go there, cold or not.
@@ -123,6 +133,8 @@
   {
     return m_upstreams;
   }
+  /// Entries and orders that wait since the store came back from a copy.
+  [[nodiscard]] size_t heldBack() const;
   [[nodiscard]] std::vector<Belief> takeBeliefs() { return std::exchange(m_beliefs, {}); }
 
 private:
@@ -130,7 +142,12 @@
   void applyService(const registry::Change& aChange);
   void applyConfiguration(const registry::Change& aChange);
   void applyDataCentre(TimePoint aNow, const registry::Change& aChange);
+  void setDataCentreOut(TimePoint aNow, const std::string& aName, bool aIsOut);
   void applyUpstream(TimePoint aNow, const registry::Change& aChange);
+  /// Takes an entry of a new history. Returns whether it has to wait, or is of an earlier start.
+  bool isDoubted(TimePoint aNow, Upstream& aHeld, const registry::UpstreamRecord& aRecord);
+  /// Ends the waits that a new history began.
+  void settleRestored(TimePoint aNow);
   void addUpstream(TimePoint aNow, const std::string& aName, const registry::UpstreamRecord&);
   void update(TimePoint aNow, Upstream& aUpstream, const registry::UpstreamRecord& aRecord);
   void setAbsent(TimePoint aNow, Upstream& aUpstream, Presence aPresence);
@@ -149,6 +166,8 @@
   absl::flat_hash_map<std::string, Upstream*> m_byName;
   absl::flat_hash_map<uint64_t, Upstream*> m_byAddress;
   absl::flat_hash_map<std::string, bool> m_isOut;
+  /// Data centres whose orders the store lost, and when they are back without another order.
+  absl::flat_hash_map<std::string, TimePoint> m_backAt;
   std::vector<Belief> m_beliefs;
   bool m_isListing{ true };
   TimePoint m_lastTick;
--- a/lib/steering/FlowEvents.cpp
+++ b/lib/steering/FlowEvents.cpp
@@ -30,7 +30,7 @@
   if (aEvent.m_time != Millis{}) {
     text += " time_ms=" + std::to_string(aEvent.m_time.count());
   }
-  return text + " revision=" + std::to_string(aEvent.m_revision) +
+  return text + " revision=" + registry::formatRevision(aEvent.m_revision) +
          " view_age_ms=" + std::to_string(aEvent.m_viewAge.count());
 }
 
--- a/lib/steering/PlacementTest.cpp
+++ b/lib/steering/PlacementTest.cpp
@@ -60,11 +60,12 @@
   fixture.addUpstream(Fixture::record(1));
   fixture.addUpstream(Fixture::record(2, "far"));
   const Token near = fixture.open(1);
-  fixture.apply({ { RecordKind::DataCentreOut, "near" }, 50, registry::DataCentreOutRecord{} });
+  fixture.apply(
+    { { RecordKind::DataCentreOut, "near" }, { .m_number = 50 }, registry::DataCentreOutRecord{} });
   const Token far = fixture.open(2);
   CHECK(far != near);
   CHECK(fixture.decide(fixture.request(1, near)).m_action == Action::Forward);
-  fixture.apply({ { RecordKind::DataCentreOut, "near" }, 51, std::nullopt });
+  fixture.apply({ { RecordKind::DataCentreOut, "near" }, { .m_number = 51 }, std::nullopt });
   CHECK(fixture.open(3) == far);
   fixture.wait(Millis{ 2000 } + kColdReportDelay);
   CHECK(fixture.open(4) == near);
@@ -213,7 +214,7 @@
   // All upstreams of a service but one crashed and came back.
   Fixture fixture;
   fixture.apply({ { RecordKind::Service, "reports" },
-                  ++fixture.m_revision,
+                  fixture.next(),
                   registry::ServiceRecord{ Millis{ 2000 }, 0 } });
   fixture.addUpstream(Fixture::record(1));
   for (uint64_t identity = 2; identity <= 5; ++identity) {
--- a/lib/steering/SteeringFixture.h
+++ b/lib/steering/SteeringFixture.h
@@ -22,19 +22,25 @@
   Fixture()
   {
     apply({ { RecordKind::Service, "reports" },
-            ++m_revision,
+            next(),
             registry::ServiceRecord{ Millis{ 2000 }, 10.0 } });
     addRoute("safe", kSafePort, registry::RequestKind::Idempotent);
     addRoute("unsafe", kUnsafePort, registry::RequestKind::NonIdempotent);
     confirm();
   }
 
+  registry::Revision next()
+  {
+    ++m_revision.m_number;
+    return m_revision;
+  }
+
   void apply(const Change& aChange) { m_directory.apply(m_now, { &aChange, 1 }); }
 
   void addRoute(const std::string& aName, uint16_t aPort, registry::RequestKind aKind)
   {
     apply({ { RecordKind::Route, aName },
-            ++m_revision,
+            next(),
             registry::RouteRecord{ kAddress, aPort, aKind, { { "reports", 1 } } } });
   }
 
@@ -52,15 +58,13 @@
 
   void addUpstream(const registry::UpstreamRecord& aRecord)
   {
-    apply({ { RecordKind::Upstream, "i-" + std::to_string(aRecord.m_identity) },
-            ++m_revision,
-            aRecord });
+    apply({ { RecordKind::Upstream, "i-" + std::to_string(aRecord.m_identity) }, next(), aRecord });
   }
 
   void removeUpstream(uint64_t aIdentity, bool aMayReturn = false)
   {
     apply({ { RecordKind::Upstream, "i-" + std::to_string(aIdentity) },
-            ++m_revision,
+            next(),
             std::nullopt,
             aMayReturn });
   }
--- a/lib/steering/SteeringTest.cpp
+++ b/lib/steering/SteeringTest.cpp
@@ -125,7 +125,7 @@
   const TimePoint loadedAt = fixture.m_now;
   const auto confirm = [&fixture, loadedAt] {
     fixture.m_steering.setView(
-      { .m_revision = 1, .m_confirmedAt = fixture.m_now, .m_loadedAt = loadedAt });
+      { .m_revision = { .m_number = 1 }, .m_confirmedAt = fixture.m_now, .m_loadedAt = loadedAt });
   };
   fixture.addUpstream(Fixture::record(1));
   confirm();
--- a/lib/transport/H2.h
+++ b/lib/transport/H2.h
@@ -41,6 +41,8 @@
   std::string m_body;
   /// Sent as the header `x-revision`; zero for none.
   uint64_t m_revision{};
+  /// Other headers of answers over HTTP/1.1, with names in lower case.
+  std::map<std::string, std::string> m_headers{};
 };
 
 /// Sends the answer to one request. It may be called later; it does nothing when the peer is gone.
--- a/lib/transport/Http1.cpp
+++ b/lib/transport/Http1.cpp
@@ -1,13 +1,23 @@
 // Connections of the HTTP/1.1 client and server.
 #include "transport/Http1.h"
 
+#include <algorithm>
 #include <http_parser.h>
+#include <iterator>
 
 namespace tamarack::transport {
 
 namespace {
 
 constexpr size_t kReadBytes = 16384;
+/// Headers of an answer that are longer than this end the connection.
+constexpr size_t kMaxHeaderBytes = 8192;
+
+char
+lowerCase(char aLetter)
+{
+  return aLetter >= 'A' && aLetter <= 'Z' ? static_cast<char>(aLetter + ('a' - 'A')) : aLetter;
+}
 
 std::string_view
 reasonOf(int aStatus)
@@ -32,6 +42,12 @@
   settings.on_url = [](http_parser* aParser, const char* aBytes, size_t aLength) {
     return static_cast<Sink*>(aParser->data)->onTarget({ aBytes, aLength });
   };
+  settings.on_header_field = [](http_parser* aParser, const char* aBytes, size_t aLength) {
+    return static_cast<Sink*>(aParser->data)->onHeaderName({ aBytes, aLength });
+  };
+  settings.on_header_value = [](http_parser* aParser, const char* aBytes, size_t aLength) {
+    return static_cast<Sink*>(aParser->data)->onHeaderValue({ aBytes, aLength });
+  };
   settings.on_body = [](http_parser* aParser, const char* aBytes, size_t aLength) {
     return static_cast<Sink*>(aParser->data)->onBody({ aBytes, aLength });
   };
@@ -80,6 +96,8 @@
   {
     m_handler = std::move(aHandler);
     m_body.clear();
+    m_headers.clear();
+    m_headerBytes = 0;
     m_deadline.expires_after(aDeadline);
     m_deadline.async_wait([weak = weak_from_this()](const asio::error_code& aError) {
       const auto self = weak.lock();
@@ -102,6 +120,24 @@
 
   int onTarget(std::string_view /*aTarget*/) { return 0; }
 
+  int onHeaderName(std::string_view aBytes)
+  {
+    if (m_isInValue) {
+      m_headerName.clear();
+      m_isInValue = false;
+    }
+    std::ranges::transform(
+      aBytes, std::back_inserter(m_headerName), [](char aLetter) { return lowerCase(aLetter); });
+    return countHeader(aBytes.size());
+  }
+
+  int onHeaderValue(std::string_view aBytes)
+  {
+    m_isInValue = true;
+    m_headers[m_headerName].append(aBytes);
+    return countHeader(aBytes.size());
+  }
+
   int onBody(std::string_view aBytes)
   {
     if (m_body.size() + aBytes.size() > kMaxHttpBodyBytes) {
@@ -119,12 +155,20 @@
     }
     // The handler may send the next request, so it is called with this one done.
     if (const ResponseHandler handler = std::exchange(m_handler, nullptr)) {
-      handler({ .m_status = static_cast<int>(m_parser.status_code), .m_body = std::move(m_body) });
+      handler({ .m_status = static_cast<int>(m_parser.status_code),
+                .m_body = std::move(m_body),
+                .m_headers = std::move(m_headers) });
     }
     return 0;
   }
 
 private:
+  int countHeader(size_t aBytes)
+  {
+    m_headerBytes += aBytes;
+    return m_headerBytes > kMaxHeaderBytes ? 1 : 0;
+  }
+
   void write()
   {
     asio::async_write(m_socket,
@@ -175,6 +219,10 @@
   std::array<char, kReadBytes> m_input{};
   std::string m_request;
   std::string m_body;
+  std::map<std::string, std::string> m_headers;
+  std::string m_headerName;
+  size_t m_headerBytes{};
+  bool m_isInValue{};
   /// Empty when no answer is expected.
   ResponseHandler m_handler;
   bool m_isConnected{};
@@ -260,6 +308,8 @@
     return m_target.size() > kMaxTargetBytes ? 1 : 0;
   }
 
+  int onHeaderName(std::string_view /*aBytes*/) { return 0; }
+  int onHeaderValue(std::string_view /*aBytes*/) { return 0; }
   int onBody(std::string_view /*aBytes*/) { return 0; }
 
   int onComplete()
@@ -267,11 +317,15 @@
     const std::string target = std::exchange(m_target, {});
     const Response response = m_handler(target);
     const bool isKept = http_should_keep_alive(&m_parser) != 0;
+    std::string headers;
+    for (const auto& [name, value] : response.m_headers) {
+      headers += "\r\n" + name + ": " + value;
+    }
     auto text = std::make_shared<std::string>(
       "HTTP/1.1 " + std::to_string(response.m_status) + " " +
       std::string(reasonOf(response.m_status)) +
       "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(response.m_body.size()) +
-      (isKept ? "" : "\r\nConnection: close") + "\r\n\r\n" + response.m_body);
+      headers + (isKept ? "" : "\r\nConnection: close") + "\r\n\r\n" + response.m_body);
     asio::async_write(
       m_socket,
       asio::buffer(*text),
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -23,9 +23,15 @@
 constexpr std::chrono::seconds kRecovery{ 12 };
 /// Upstreams that start during a run are cold for this long.
 constexpr std::chrono::milliseconds kColdStart{ 2000 };
-/// Kinds of faults. Seeds below kFirstSeedWithAllKinds were recorded when there was one kind less.
-constexpr int kKinds = 10;
-constexpr int kFirstSeedWithAllKinds = 1000;
+/// Kinds of faults. Seeds below these were recorded when there were two kinds, or one, less.
+constexpr int kKinds = 11;
+constexpr int kFirstSeedWithLimits = 1000;
+constexpr int kFirstSeedWithCopies = 2000;
+/// A store that comes back from a copy is away for so long; upstreams and operators write again
+/// within this time, and entries that nobody renews go after three heartbeats.
+constexpr int kAwayForCopyMs = 500;
+constexpr int kWrittenAgainMs = 1200;
+constexpr int kEntryLifeMs = 3600;
 /// When nothing harms anybody any more, an upstream of each service leaves.
 constexpr std::chrono::seconds kLastDrain{ 6 };
 
@@ -245,7 +251,9 @@
       m_world.m_timeline.onFault(aWhat, std::chrono::milliseconds(aLength));
     };
     const int service = static_cast<int>(random() % 2);
-    switch (random() % (kKinds - (m_options.m_seed < kFirstSeedWithAllKinds ? 1 : 0))) {
+    const int missing = (m_options.m_seed < kFirstSeedWithLimits ? 1 : 0) +
+                        (m_options.m_seed < kFirstSeedWithCopies ? 1 : 0);
+    switch (random() % (kKinds - missing)) {
       case 0:
         show("kill" + name);
         host.signal(SIGKILL);
@@ -292,13 +300,45 @@
         show("an upstream of service " + std::to_string(service) + " leaves");
         drainUpstream(service);
         return;
-      default:
+      case 9:
         show("all upstreams of service " + std::to_string(kLimitedService) + " start anew", 1200);
         restartService();
         return;
+      default:
+        show("store comes back from a copy", length + kAwayForCopyMs);
+        restoreStore(length);
+        return;
     }
   }
 
+  /// The store loses what is written in the next `aLost` ms. What lives writes it again.
+  void restoreStore(int aLost)
+  {
+    m_world.m_store.copy();
+    after(aLost, [this] {
+      for (const auto& host : m_hosts) {
+        host->proxy().harm(Harm::Silent);
+      }
+    });
+    after(aLost + kAwayForCopyMs, [this] {
+      m_world.m_store.restore();
+      for (const auto& host : m_hosts) {
+        host->proxy().harm(Harm::None);
+      }
+      for (const auto& upstream : m_world.m_upstreams) {
+        const int wait = static_cast<int>(m_world.m_random() % kWrittenAgainMs);
+        after(upstream->isAlive() ? wait : kEntryLifeMs, [this, upstream = upstream.get()] {
+          if (upstream->isAlive()) {
+            upstream->publishAgain();
+          } else {
+            m_world.m_store.remove(upstream->key());
+          }
+        });
+      }
+      after(kWrittenAgainMs, [this] { m_world.publishConfiguration(false); });
+    });
+  }
+
   void crashUpstream(int aService)
   {
     Upstream* upstream = m_world.living(aService) > 2 ? m_world.randomUpstream(aService) : nullptr;
@@ -306,7 +346,7 @@
       return;
     }
     upstream->crash();
-    after(3600, [this, upstream] { m_world.m_store.remove(upstream->key()); });
+    after(kEntryLifeMs, [this, upstream] { m_world.m_store.remove(upstream->key()); });
     after(1500, [this, aService] { m_world.addUpstream(aService, "dc0", kColdStart); });
   }
 
--- a/soak/World.cpp
+++ b/soak/World.cpp
@@ -38,13 +38,23 @@
   m_items[aKey] = { {}, ++m_revision, true };
 }
 
+void
+Store::restore()
+{
+  m_items = m_copy;
+  m_revision = m_copiedRevision;
+  m_floor = m_revision;
+  ++m_history;
+}
+
 transport::Response
 Store::answer(std::string_view aTarget) const
 {
   const bool isWatch = aTarget.find("watch") != std::string_view::npos;
   const uint64_t after = isWatch ? numberAfter(aTarget, "&after=") : 0;
-  if (isWatch && after < m_floor) {
-    return { .m_status = 410 };
+  const std::map<std::string, std::string> headers{ { "Store-Era", std::to_string(m_history) } };
+  if (isWatch && (after < m_floor || after > m_revision)) {
+    return { .m_status = 410, .m_headers = headers };
   }
   Json listed = Json::array();
   for (const auto& [key, item] : m_items) {
@@ -61,10 +71,10 @@
     }
     listed.push_back(std::move(entry));
   }
-  return {
-    .m_status = 200,
-    .m_body = Json{ { isWatch ? "events" : "items", listed }, { "current_rev", m_revision } }.dump()
-  };
+  return { .m_status = 200,
+           .m_body =
+             Json{ { isWatch ? "events" : "items", listed }, { "current_rev", m_revision } }.dump(),
+           .m_headers = headers };
 }
 
 World::World(asio::io_context& aIo, uint32_t aSeed, uint32_t aLane)
@@ -76,7 +86,7 @@
 }
 
 void
-World::publishConfiguration()
+World::publishConfiguration(bool aIsNew)
 {
   Json routes = Json::array();
   for (size_t index = 0; index < kRoutePorts.size(); ++index) {
@@ -86,7 +96,7 @@
                        { "type", index == 0 ? "safe" : "unsafe" },
                        { "service", index == 0 ? "feed" : "report" } });
   }
-  m_configuration += 1 + m_random() % 5;
+  m_configuration += aIsNew ? 1 + m_random() % 5 : 0;
   m_store.put(
     "op/config",
     Json{ { "version", m_configuration },
--- a/soak/World.h
+++ b/soak/World.h
@@ -55,7 +55,8 @@
 /// A broken promise, with what was seen.
 using Complaints = std::vector<std::string>;
 
-/// The store: items with revisions, answered over HTTP/1.1. A watch answers at once.
+/// The store: items with revisions, answered over HTTP/1.1. A watch answers at once. It can come
+/// back from a copy, in a new history.
 class Store
 {
 public:
@@ -64,6 +65,13 @@
   void remove(const std::string& aKey);
   /// Watches of older revisions fail from now on.
   void forgetHistory() { m_floor = m_revision; }
+  /// Keeps a copy, to which restore() goes back.
+  void copy()
+  {
+    m_copy = m_items;
+    m_copiedRevision = m_revision;
+  }
+  void restore();
 
 private:
   struct Item
@@ -75,7 +83,10 @@
   [[nodiscard]] tamarack::transport::Response answer(std::string_view aTarget) const;
 
   std::map<std::string, Item> m_items;
+  std::map<std::string, Item> m_copy;
   uint64_t m_revision{ 1 };
+  uint64_t m_copiedRevision{ 1 };
+  uint64_t m_history{ 1 };
   uint64_t m_floor{};
   tamarack::transport::HttpServer m_server;
 };
@@ -99,6 +110,8 @@
   [[nodiscard]] uint32_t id() const { return m_id; }
   [[nodiscard]] int service() const { return m_service; }
   [[nodiscard]] std::string key() const;
+  /// Writes its entry again, as the store lost it.
+  void publishAgain() { publish(m_drainingSince != Clock::time_point{}); }
 
 private:
   void receive();
@@ -178,7 +191,8 @@
                         std::chrono::milliseconds aColdFor = {});
   [[nodiscard]] Upstream* randomUpstream(int aService);
   [[nodiscard]] size_t living(int aService) const;
-  void publishConfiguration();
+  /// Writes a new version, or the newest one again.
+  void publishConfiguration(bool aIsNew = true);
   void complain(std::string aText);
 
   asio::io_context& m_io;
