[steering] Packets and statuses that waited while a host stood still are no evidence

Cause: a host that wakes reads in one instant what waited in its sockets. Statuses that had waited confirmed records as of the time of reading.

Until its sockets are read, a host weighs no repeats, answers or sightings, and adds the pause to the age that a status states. Repeated packets of a flow that come within 150 ms of each other waited together and count as one, as copies of opening packets did.

--- a/lib/daemon/PacketPorts.cpp
+++ b/lib/daemon/PacketPorts.cpp
@@ -38,8 +38,8 @@
   , m_packets(aIo, udpEndpoint(aConfig, aConfig.m_ports.m_packets))
   , m_relay(aIo, udpEndpoint(aConfig, aConfig.m_ports.m_relay))
 {
-  m_packets.receive([this](auto aPacket) { onFabricPacket(aPacket); }, [this] { flush(); });
-  m_relay.receive([this](auto aPacket) { onRelayedPacket(aPacket); }, [this] { flush(); });
+  m_packets.receive([this](auto aPacket) { onFabricPacket(aPacket); }, [this](bool) { flush(); });
+  m_relay.receive([this](auto aPacket) { onRelayedPacket(aPacket); }, [this](bool) { flush(); });
 }
 
 void
--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -142,9 +142,8 @@
   void tick()
   {
     const TimePoint now = readClock();
+    m_host.onActive(now);
     if (m_lastTick != TimePoint{} && now - m_lastTick > kStandstill) {
-      m_host.note(EventId::DecisionsResumed,
-                  "stood_still_ms=" + std::to_string((now - m_lastTick).count()));
       m_follower->restart(now);
     }
     m_lastTick = now;
@@ -210,12 +209,15 @@
     m_isServing = true;
     m_packets.receive(
       [this](auto aDatagram) { contain(m_host, "packet", [&] { onPacket(aDatagram); }); },
-      [this] { afterPackets(); });
+      [this](bool aIsAllRead) { afterPackets(aIsAllRead); });
   }
 
-  void afterPackets()
+  void afterPackets(bool aIsAllRead)
   {
     m_packets.flush();
+    if (aIsAllRead) {
+      m_host.onPacketsRead();
+    }
     if (m_host.hasSightings()) {
       m_peerLink.push(readClock());
     }
@@ -224,6 +226,7 @@
   void onPacket(std::span<const uint8_t> aDatagram)
   {
     const TimePoint now = readClock();
+    m_host.onActive(now);
     m_lastPacketAt = now;
     const auto parsed = Format::parse(aDatagram);
     if (const auto* error = std::get_if<ErrorKind>(&parsed)) {
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -129,12 +129,18 @@
              std::string(difference.status().message()) + "\"");
     }
   }
-  const dissemination::Reaction reaction = m_peers.onStatus(aNow, aStatus, m_registry.complete());
+  // It may have been sent before this host stood still.
+  const Millis delay = m_standstill.statusDelay();
+  dissemination::Status dated = aStatus;
+  dated.m_ageMs += dated.m_ageMs < 0 ? 0 : delay.count();
+  const dissemination::Reaction reaction = m_peers.onStatus(aNow, dated, m_registry.complete());
   if (!isLoaded()) {
     m_firstRecords.onAnswer(aStatus.m_revision.isSet());
   }
-  for (const dissemination::Sighting& sighting : aStatus.m_sightings) {
-    onSighting(aNow, sighting);
+  if (delay == Millis{}) {
+    for (const dissemination::Sighting& sighting : aStatus.m_sightings) {
+      onSighting(aNow, sighting);
+    }
   }
   refreshView(aNow);
   return reaction;
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -5,6 +5,7 @@
 #include "base/RateLimit.h"
 #include "dissemination/Peers.h"
 #include "edge/FirstRecords.h"
+#include "edge/Standstill.h"
 #include "registry/Registry.h"
 #include "steering/TokenSteering.h"
 
@@ -46,6 +47,23 @@
     return m_steering.decide(aNow, aPacket);
   }
 
+  /// The process does something: called before packets and statuses are read, and at each tick.
+  void onActive(TimePoint aNow)
+  {
+    if (m_standstill.onActive(aNow)) {
+      note(EventId::DecisionsResumed,
+           "stood_still_ms=" + std::to_string(m_standstill.statusDelay().count()));
+    }
+    m_steering.setCatchingUp(m_standstill.arePacketsLate());
+  }
+  /// All packets, or statuses, that waited were read.
+  void onPacketsRead()
+  {
+    m_standstill.onPacketsRead();
+    m_steering.setCatchingUp(false);
+  }
+  void onStatusesRead() { m_standstill.onStatusesRead(); }
+
   /// Takes an answer of the store in. `aConfirmedAt`: the store held nothing newer then; the epoch
   /// when the answer may be old.
   void onReading(TimePoint aNow,
@@ -121,6 +139,7 @@
   size_t m_sightedEvents{};
   registry::Revision m_pushedRevision{};
   FirstRecords m_firstRecords;
+  Standstill m_standstill;
   /// Why the store is read for the first records; empty before it is.
   std::string m_firstReadingReason;
   TimePoint m_loadedAt;
--- a/lib/edge/PeerLink.cpp
+++ b/lib/edge/PeerLink.cpp
@@ -43,7 +43,12 @@
   , m_snapshots(snapshotsPerSecond(aSettings.m_cpuShare), snapshotsPerSecond(aSettings.m_cpuShare))
 {
   m_socket.receive([this](auto aBytes) { contain(m_host, "status", [&] { onDatagram(aBytes); }); },
-                   [this] { m_socket.flush(); });
+                   [this](bool aIsAllRead) {
+                     m_socket.flush();
+                     if (aIsAllRead) {
+                       m_host.onStatusesRead();
+                     }
+                   });
 }
 
 void
@@ -96,6 +101,7 @@
 PeerLink::onDatagram(std::span<const uint8_t> aBytes)
 {
   const TimePoint now = readClock();
+  m_host.onActive(now);
   m_counters.m_statusBytesReceived += aBytes.size();
   if (!m_statuses.take(now)) {
     ++m_counters.m_statusesDropped;
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -187,7 +187,7 @@
   if (known != nullptr && aPacket.m_copy > 0) {
     before = known->m_token;
     Upstream* const silent = m_directory.findUpstream(before);
-    const bool waitedTogether = known->quietFor(aNow) < kLeastCopyInterval;
+    const bool waitedTogether = m_isCatchingUp || known->quietFor(aNow) < kLeastCopyInterval;
     if (silent != nullptr && (known->isOpen() || waitedTogether)) {
       // The flow is open or opening. A second upstream would answer, too, and the caller would
       // follow the token that came last to one that does not hold its flow.
@@ -251,6 +251,7 @@
 {
   const uint32_t end = aPacket.m_sequence + aPacket.m_length;
   const bool isKnown = aFlow.isOpen() && aFlow.m_token == aPacket.m_token;
+  const bool waitedTogether = m_isCatchingUp || aFlow.quietFor(aNow) < kLeastCopyInterval;
   Repetition seen;
   if (isKnown) {
     aFlow.touch(aNow);
@@ -269,10 +270,12 @@
     aFlow.clearRepeats();
     seen.m_isProgress = true;
     if (const std::optional<Millis> time = aFlow.waited(aNow)) {
-      if (!isJudged) {
+      if (!isJudged && !m_isCatchingUp) {
         judgePace(aNow, aPacket, aUpstream, *time);
       }
-      aUpstream.m_service->m_responses.add(*time);
+      if (!m_isCatchingUp) {
+        aUpstream.m_service->m_responses.add(*time);
+      }
       if (m_observer) {
         m_observer(*time);
       }
@@ -289,23 +292,36 @@
     }
     return seen;
   }
-  if (isKnown) {
-    // Callers repeat after 200 ms, which many answers take; later only the time of waiting tells.
-    const std::optional<Millis> waited = aFlow.waited(aNow);
-    const bool isHopeless = waited && *waited >= aUpstream.m_service->m_responses.silence();
-    const double surprise = m_requestRepeated.surprise();
-    // The requests of a busy upstream are slow together, so a first repeat counts half; to wait in
-    // vain, a caller must have lost two packets in a row.
-    seen.m_evidence = isHopeless ? 2 * surprise : (aFlow.repeats() == 0 ? surprise / 2 : 0);
-    aFlow.addRepeat();
-    if (aFlow.repeats() == 2 && waited) {
-      judgePace(aNow, aPacket, aUpstream, *waited);
-    }
-    ++m_counters.m_repeats;
+  if (!isKnown) {
+    return seen;
+  }
+  ++m_counters.m_repeats;
+  if (!waitedTogether) {
+    seen.m_evidence = weighRepeat(aNow, aPacket, aFlow, aUpstream);
   }
   return seen;
 }
 
+double
+TokenSteering::weighRepeat(TimePoint aNow,
+                           const FlowPacket& aPacket,
+                           FlowState& aFlow,
+                           Upstream& aUpstream)
+{
+  // Callers repeat after 200 ms, which many answers take; later only the time of waiting tells.
+  const std::optional<Millis> waited = aFlow.waited(aNow);
+  const bool isHopeless = waited && *waited >= aUpstream.m_service->m_responses.silence();
+  const double surprise = m_requestRepeated.surprise();
+  // The requests of a busy upstream are slow together, so a first repeat counts half; to wait in
+  // vain, a caller must have lost two packets in a row.
+  const double evidence = isHopeless ? 2 * surprise : (aFlow.repeats() == 0 ? surprise / 2 : 0);
+  aFlow.addRepeat();
+  if (aFlow.repeats() == 2 && waited) {
+    judgePace(aNow, aPacket, aUpstream, *waited);
+  }
+  return evidence;
+}
+
 Choice
 TokenSteering::decideUnknown(TimePoint aNow, const FlowPacket& aPacket)
 {
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -21,8 +21,8 @@
 inline constexpr Millis kLearningTime = kLapseGrace;
 /// Requests that are older than this are no longer waited for by anybody.
 inline constexpr Millis kLongestWait{ 6000 };
-/// Callers send copies of an opening packet 200 ms apart or more. Copies that come closer waited
-/// together, as in a host that was paused, and say nothing of the upstream.
+/// Callers repeat packets 200 ms apart or more. Those that come closer waited together, as in a
+/// host that was paused, and say nothing of the upstream.
 inline constexpr Millis kLeastCopyInterval{ 150 };
 /// Chances of a repeated opening packet on a calm day: a datagram or its answer was lost.
 inline constexpr double kFirstChanceOfCopy = 0.01;
@@ -73,6 +73,9 @@
   }
 
   void setView(const View& aView) { m_view = aView; }
+  /// Whether packets that are read now may have waited in this host: their times say nothing of
+  /// upstreams.
+  void setCatchingUp(bool aIsCatchingUp) { m_isCatchingUp = aIsCatchingUp; }
   void onResponse(ResponseObserver aObserver) { m_observer = std::move(aObserver); }
 
   [[nodiscard]] Choice decide(TimePoint aNow, const FlowPacket& aPacket);
@@ -110,6 +113,11 @@
                    const FlowPacket& aPacket,
                    FlowState& aFlow,
                    Upstream& aUpstream);
+  /// The evidence of silence, in nats, of a packet that the caller has sent before.
+  double weighRepeat(TimePoint aNow,
+                     const FlowPacket& aPacket,
+                     FlowState& aFlow,
+                     Upstream& aUpstream);
   Choice forward(const Upstream& aUpstream);
   /// Resets an open flow, which the caller then gives up.
   void giveUpFlows(TimePoint aNow, const Upstream& aUpstream, std::vector<FlowPacket>& aResets);
@@ -137,6 +145,7 @@
   ChanceMeter m_openedAgain{ kFirstChanceOfCopy, kLeastChanceOfCopy };
   ChanceMeter m_requestRepeated{ kFirstChanceOfRepeat, kLeastChanceOfRepeat };
   View m_view;
+  bool m_isCatchingUp{};
   SteeringCounters m_counters;
   FlowEvents m_events;
   ResponseObserver m_observer;
--- a/lib/transport/Datagrams.cpp
+++ b/lib/transport/Datagrams.cpp
@@ -47,7 +47,7 @@
 DatagramSocket::~DatagramSocket() = default;
 
 void
-DatagramSocket::receive(DatagramHandler aHandler, std::function<void()> aAfterBatch)
+DatagramSocket::receive(DatagramHandler aHandler, BatchHandler aAfterBatch)
 {
   m_handler = std::move(aHandler);
   m_afterBatch = std::move(aAfterBatch);
@@ -78,8 +78,9 @@
     for (size_t index = 0; index < static_cast<size_t>(count); ++index) {
       m_handler({ m_in->m_bytes[index].data(), m_in->m_headers[index].msg_len });
     }
-    m_afterBatch();
-    if (static_cast<size_t>(count) < kDatagramsPerBatch) {
+    const bool isAllRead = static_cast<size_t>(count) < kDatagramsPerBatch;
+    m_afterBatch(isAllRead);
+    if (isAllRead) {
       return;
     }
   }
--- a/lib/transport/Datagrams.h
+++ b/lib/transport/Datagrams.h
@@ -29,8 +29,11 @@
   DatagramSocket(const DatagramSocket&) = delete;
   DatagramSocket& operator=(const DatagramSocket&) = delete;
 
+  /// Called after each batch of datagrams; says whether all that waited has been read.
+  using BatchHandler = std::function<void(bool)>;
+
   /// Calls the handler with each datagram that arrives, and `aAfterBatch` after each batch.
-  void receive(DatagramHandler aHandler, std::function<void()> aAfterBatch);
+  void receive(DatagramHandler aHandler, BatchHandler aAfterBatch);
   /// Queues a datagram that starts with `aHead` and goes on with `aBody`; a full batch is sent.
   void send(Ipv4 aTo,
             uint16_t aPort,
@@ -49,7 +52,7 @@
 
   asio::ip::udp::socket m_socket;
   DatagramHandler m_handler;
-  std::function<void()> m_afterBatch;
+  BatchHandler m_afterBatch;
   std::unique_ptr<Batch> m_in;
   std::unique_ptr<Batch> m_out;
   size_t m_queued{};
--- a/lib/transport/TransportTest.cpp
+++ b/lib/transport/TransportTest.cpp
@@ -118,7 +118,7 @@
   DatagramSocket sender(io, { asio::ip::make_address_v4("127.0.0.1"), 0 });
   std::vector<uint8_t> received;
   receiver.receive([&](auto aBytes) { received.assign(aBytes.begin(), aBytes.end()); },
-                   [&] { io.stop(); });
+                   [&](bool) { io.stop(); });
   const std::vector<uint8_t> head{ 1, 2 };
   const std::vector<uint8_t> body{ 3, 4, 5 };
   sender.send(Ipv4{ 0x7f000001 }, receiver.port(), head, body);
--- a/standins/upstream/Main.cpp
+++ b/standins/upstream/Main.cpp
@@ -58,7 +58,8 @@
     , m_run(std::random_device{}())
     , m_socket(aIo, { asio::ip::make_address_v4(m_options["address"]), m_port })
   {
-    m_socket.receive([this](auto aPacket) { onPacket(aPacket); }, [this] { m_socket.flush(); });
+    m_socket.receive([this](auto aPacket) { onPacket(aPacket); },
+                     [this](bool) { m_socket.flush(); });
   }
 
   void onRequest(const transport::Request& aRequest, const transport::Responder& aRespond)
