--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -136,7 +136,8 @@
              .m_coldLimits = { .m_factor = aSettings.m_coldFactor,
                                .m_slack = aSettings.m_coldSlack },
              .m_flowPlaces = aSettings.m_flowPlaces,
-             .m_seed = incarnation ^ aSettings.m_packets.m_address.m_value };
+             .m_seed = incarnation ^ aSettings.m_packets.m_address.m_value,
+             .m_mechanisms = aSettings.m_mechanisms };
   }
 
   void tick()
--- a/lib/edge/EdgeSettings.cpp
+++ b/lib/edge/EdgeSettings.cpp
@@ -62,6 +62,16 @@
   return value;
 }
 
+std::string
+joinNames(std::span<const std::string_view> aNames)
+{
+  std::string joined;
+  for (const std::string_view name : aNames) {
+    joined += (joined.empty() ? "" : ", ") + std::string(name);
+  }
+  return joined;
+}
+
 } // namespace
 
 absl::StatusOr<EdgeSettings>
@@ -97,6 +107,11 @@
   edge.m_stopLimit =
     std::chrono::seconds(reader.optionalNumber("stop_limit_s", kStopSeconds, kDefaultStopSeconds));
   edge.m_flowPlaces = reader.optionalNumber("flow_places", kFlowPlaces, kDefaultFlowPlaces);
+  for (const settings::Json& item : reader.optionalList("off")) {
+    if (!item.is_string() || !edge.m_mechanisms.switchOff(item.get<std::string>())) {
+      reader.fault("off", "must hold names of mechanisms only: " + joinNames(kMechanismNames));
+    }
+  }
   reader.refuseUnknown();
   if (faults.empty()) {
     return edge;
--- a/lib/edge/EdgeSettings.h
+++ b/lib/edge/EdgeSettings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Address.h"
+#include "base/Mechanisms.h"
 
 #include <absl/status/statusor.h>
 #include <string>
@@ -42,6 +43,8 @@
   double m_coldSlack{};
   /// Flows that are remembered to recognise repeated packets.
   size_t m_flowPlaces{};
+  /// What is switched off takes a restart to change.
+  Mechanisms m_mechanisms;
 
   friend bool operator==(const EdgeSettings&, const EdgeSettings&) = default;
 };
--- a/lib/edge/EdgeTest.cpp
+++ b/lib/edge/EdgeTest.cpp
@@ -138,6 +138,18 @@
   CHECK(message.find("/packets") != std::string::npos);
   CHECK(message.find("/cpu_share") != std::string::npos);
   CHECK_FALSE(parseEdgeSettings("{").ok());
+
+  std::string without(kSettings);
+  without.insert(without.rfind('}'), R"(, "off": ["pace", "near-first"])");
+  const auto switched = parseEdgeSettings(without);
+  REQUIRE(switched.ok());
+  CHECK_FALSE(switched->m_mechanisms.isOn(Mechanism::Pace));
+  CHECK_FALSE(switched->m_mechanisms.isOn(Mechanism::NearFirst));
+  CHECK(switched->m_mechanisms.isOn(Mechanism::Refusals));
+  without.replace(without.find("\"pace\""), 6, "\"peace\"");
+  const std::string unknown(parseEdgeSettings(without).status().message());
+  CHECK(unknown.find("/off") != std::string::npos);
+  CHECK(unknown.find("growing-avoidance") != std::string::npos);
 }
 
 TEST_CASE("a change or a fault of the settings file is told once")
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 Host::Host(HostOptions aOptions)
-  : m_directory(aOptions.m_peers.m_dataCentre)
+  : m_directory(aOptions.m_peers.m_dataCentre, aOptions.m_mechanisms)
   , m_coldBudget(aOptions.m_coldLimits)
   , m_placement(m_directory, m_coldBudget, aOptions.m_seed)
   , m_steering(m_directory, m_placement, aOptions.m_flowPlaces)
@@ -137,7 +137,7 @@
   if (!isLoaded()) {
     m_firstRecords.onAnswer(aStatus.m_revision.isSet());
   }
-  if (delay == Millis{}) {
+  if (delay == Millis{} && m_directory.mechanisms().isOn(Mechanism::HostReports)) {
     for (const dissemination::Sighting& sighting : aStatus.m_sightings) {
       onSighting(aNow, sighting);
     }
@@ -267,7 +267,8 @@
 Host::tick(TimePoint aNow)
 {
   m_directory.tick(aNow);
-  m_firstRecords.begin(aNow, m_peers.hasSeeds());
+  m_firstRecords.begin(
+    aNow, m_peers.hasSeeds() && m_directory.mechanisms().isOn(Mechanism::NeighbourRecords));
   const bool isReader = m_peers.updateReading(aNow);
   if (isReader != m_isReader) {
     m_isReader = isReader;
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -28,6 +28,7 @@
   steering::ColdLimits m_coldLimits;
   size_t m_flowPlaces{};
   uint64_t m_seed{};
+  Mechanisms m_mechanisms{};
 };
 
 /// One line for the log.
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -62,7 +62,9 @@
     }
     // A few pages are read at once, for the first flows and for small fleets; the rest only when
     // no other host has the records.
-    const bool isWaiting = m_hasGlanced && !m_host.isFirstReadingDue(aNow);
+    const bool isGlanceDue =
+      !m_hasGlanced && m_host.directory().mechanisms().isOn(Mechanism::GlancePages);
+    const bool isWaiting = !isGlanceDue && !m_host.isFirstReadingDue(aNow);
     if (m_host.isLoaded() ? !m_host.isReader() : isWaiting) {
       return;
     }
--- a/lib/settings/FieldReader.cpp
+++ b/lib/settings/FieldReader.cpp
@@ -66,6 +66,12 @@
   return *found;
 }
 
+const Json&
+FieldReader::optionalList(std::string_view aName)
+{
+  return find(aName) == nullptr ? kEmptyList : list(aName);
+}
+
 uint64_t
 FieldReader::number(std::string_view aName, Range aRange)
 {
--- a/lib/settings/FieldReader.h
+++ b/lib/settings/FieldReader.h
@@ -31,6 +31,8 @@
   const Json& optionalObject(std::string_view aName);
   /// A required list field; an empty list when it is missing or of another type.
   const Json& list(std::string_view aName);
+  /// A list field that may be missing.
+  const Json& optionalList(std::string_view aName);
   uint64_t number(std::string_view aName, Range aRange);
   uint64_t optionalNumber(std::string_view aName, Range aRange, uint64_t aDefault);
   std::string text(std::string_view aName);
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -164,11 +164,10 @@
     if (held == nullptr || held->m_presence != Presence::Registered) {
       return;
     }
+    const bool mayReturn = aChange.m_mayReturn && m_mechanisms.isOn(Mechanism::LapseGrace);
     const bool hasLeft = held->m_record.m_state == UpstreamState::Draining;
-    setAbsent(aNow,
-              *held,
-              aChange.m_mayReturn ? Presence::Lapsed
-                                  : (hasLeft ? Presence::Ended : Presence::Missing));
+    setAbsent(
+      aNow, *held, mayReturn ? Presence::Lapsed : (hasLeft ? Presence::Ended : Presence::Missing));
     return;
   }
   const auto& record = std::get<UpstreamRecord>(*aChange.m_record);
@@ -243,6 +242,9 @@
 {
   auto upstream = std::make_unique<Upstream>();
   upstream->m_name = aName;
+  if (!m_mechanisms.isOn(Mechanism::GrowingAvoidance)) {
+    upstream->m_health = PassiveHealth(kFirstAvoidance);
+  }
   upstream->m_token = makeToken(aRecord.m_identity, aRecord.m_startedAtMs);
   upstream->m_isLocal = aRecord.m_dataCentre == m_dataCentre;
   const uint64_t address = addressKey(aRecord.m_address, aRecord.m_port);
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Events.h"
+#include "base/Mechanisms.h"
 #include "registry/Registry.h"
 #include "steering/ChanceMeter.h"
 #include "steering/LoadMeter.h"
@@ -112,8 +113,9 @@
 class Directory
 {
 public:
-  explicit Directory(std::string aDataCentre)
+  explicit Directory(std::string aDataCentre, Mechanisms aMechanisms = {})
     : m_dataCentre(std::move(aDataCentre))
+    , m_mechanisms(aMechanisms)
   {
   }
 
@@ -135,6 +137,7 @@
   }
   /// Entries and orders that wait since the store came back from a copy.
   [[nodiscard]] size_t heldBack() const;
+  [[nodiscard]] const Mechanisms& mechanisms() const { return m_mechanisms; }
   [[nodiscard]] std::vector<Belief> takeBeliefs() { return std::exchange(m_beliefs, {}); }
 
 private:
@@ -156,6 +159,7 @@
   void believe(EventId aEvent, const Upstream& aUpstream, std::string aExtra = {});
 
   std::string m_dataCentre;
+  Mechanisms m_mechanisms;
   absl::flat_hash_map<uint64_t, Route> m_routes;
   /// Where a route of the configuration stands in m_routes, by its name.
   absl::flat_hash_map<std::string, uint64_t> m_routeKeys;
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -32,6 +32,12 @@
 class PassiveHealth
 {
 public:
+  PassiveHealth() = default;
+  explicit PassiveHealth(Millis aLongestAvoidance)
+    : m_longestAvoidance(aLongestAvoidance)
+  {
+  }
+
   /// A caller of this host repeats a packet; `aSurprise` says how rarely that happens to living
   /// upstreams. Returns whether avoidance begins.
   bool onSilence(TimePoint aNow, double aSurprise)
@@ -68,7 +74,7 @@
   {
     const bool wasDoubted =
       isAvoided(aNow) || isSilent() || m_witnessCount > 0 || m_avoidance != Millis{};
-    *this = {};
+    *this = PassiveHealth(m_longestAvoidance);
     return wasDoubted;
   }
 
@@ -100,7 +106,7 @@
   void avoid(TimePoint aNow)
   {
     m_avoidance =
-      m_avoidance == Millis{} ? kFirstAvoidance : std::min(m_avoidance * 2, kLongestAvoidance);
+      m_avoidance == Millis{} ? kFirstAvoidance : std::min(m_avoidance * 2, m_longestAvoidance);
     m_avoidedUntil = aNow + m_avoidance;
   }
 
@@ -118,6 +124,7 @@
   std::array<HostId, kMostWitnesses> m_witnesses{};
   uint32_t m_witnessCount{};
   TimePoint m_silentSince;
+  Millis m_longestAvoidance{ kLongestAvoidance };
   Millis m_avoidance{};
   TimePoint m_avoidedUntil;
 };
--- a/lib/steering/Placement.cpp
+++ b/lib/steering/Placement.cpp
@@ -21,12 +21,12 @@
 constexpr double kColdHandicap = 0.25;
 
 double
-loadOf(const Upstream& aUpstream, TimePoint aNow)
+loadOf(const Upstream& aUpstream, TimePoint aNow, bool aIsColdWeighed)
 {
   const double load =
     aUpstream.m_requests.level(aNow) + kFlowWeight * aUpstream.m_flows.level(aNow);
   const double perSlot = load / std::max<uint32_t>(1, aUpstream.m_record.m_slots);
-  return aUpstream.isCold(aNow) ? kColdHandicap + kColdFactor * perSlot : perSlot;
+  return aIsColdWeighed && aUpstream.isCold(aNow) ? kColdHandicap + kColdFactor * perSlot : perSlot;
 }
 
 /// Whether an upstream may get only so many new flows that they have to be counted.
@@ -41,12 +41,18 @@
 class Placement::Draw
 {
 public:
+  explicit Draw(const Mechanisms& aMechanisms)
+    : m_compared(aMechanisms.isOn(Mechanism::FourCompared) ? kCompared : 1)
+    , m_isColdWeighed(aMechanisms.isOn(Mechanism::ColdWeight))
+  {
+  }
+
   void see(Upstream& aUpstream, std::minstd_rand& aRandom)
   {
     ++m_seen;
     // Reservoir sampling: each upstream is among those compared with the same chance.
-    const size_t place = m_seen <= kCompared ? m_seen - 1 : aRandom() % m_seen;
-    if (place < kCompared) {
+    const size_t place = m_seen <= m_compared ? m_seen - 1 : aRandom() % m_seen;
+    if (place < m_compared) {
       m_drawn[place] = &aUpstream;
     }
   }
@@ -57,13 +63,13 @@
   /// there are many, so the search starts anywhere.
   [[nodiscard]] Upstream* best(TimePoint aNow, std::minstd_rand& aRandom) const
   {
-    const size_t count = std::min(m_seen, kCompared);
+    const size_t count = std::min(m_seen, m_compared);
     Upstream* best = nullptr;
     double least = 0;
     const size_t start = count == 0 ? 0 : aRandom() % count;
     for (size_t step = 0; step < count; ++step) {
       Upstream* const upstream = m_drawn[(start + step) % count];
-      const double load = loadOf(*upstream, aNow);
+      const double load = loadOf(*upstream, aNow, m_isColdWeighed);
       if (best == nullptr || load < least) {
         best = upstream;
         least = load;
@@ -73,6 +79,8 @@
   }
 
 private:
+  size_t m_compared;
+  bool m_isColdWeighed;
   size_t m_seen{};
   std::array<Upstream*, kCompared> m_drawn{};
 };
@@ -106,9 +114,12 @@
   if (service == nullptr) {
     return {};
   }
-  Draw local;
-  Draw remote;
-  Draw avoided;
+  const Mechanisms& mechanisms = m_directory.mechanisms();
+  const bool isNearFirst = mechanisms.isOn(Mechanism::NearFirst);
+  const bool isColdWeighed = mechanisms.isOn(Mechanism::ColdWeight);
+  Draw local(mechanisms);
+  Draw remote(mechanisms);
+  Draw avoided(mechanisms);
   for (Upstream* upstream : service->m_upstreams) {
     if (!upstream->isOpen() || isLimited(*upstream, aNow)) {
       continue;
@@ -117,7 +128,7 @@
         upstream->m_pace.isSlow(aNow)) {
       avoided.see(*upstream, m_random);
     } else {
-      (upstream->m_isLocal ? local : remote).see(*upstream, m_random);
+      (upstream->m_isLocal || !isNearFirst ? local : remote).see(*upstream, m_random);
     }
   }
   // The upstreams that are left keep the load that they had; the rest goes to other data centres.
@@ -127,7 +138,8 @@
   Upstream* const near = local.best(aNow, m_random);
   Upstream* const far = remote.best(aNow, m_random);
   if (near != nullptr && far != nullptr) {
-    const bool isCrowded = loadOf(*near, aNow) > loadOf(*far, aNow) + kSpillMargin;
+    const bool isCrowded =
+      loadOf(*near, aNow, isColdWeighed) > loadOf(*far, aNow, isColdWeighed) + kSpillMargin;
     return { point <= share && !isCrowded ? near : far };
   }
   if (near != nullptr || far != nullptr) {
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -38,6 +38,9 @@
 TokenSteering::giveUp(TimePoint aNow)
 {
   std::vector<FlowPacket> resets;
+  if (!m_directory.mechanisms().isOn(Mechanism::DeadResets)) {
+    return resets;
+  }
   for (const auto& upstream : m_directory.upstreams()) {
     const bool isLost = upstream->m_presence == Presence::Ended || upstream->m_health.isDead(aNow);
     if (isLost && !upstream->m_isGivenUp) {
@@ -127,7 +130,8 @@
                            Upstream& aUpstream,
                            double aSurprise)
 {
-  if (aUpstream.m_health.onSilence(aNow, aSurprise)) {
+  if (m_directory.mechanisms().isOn(Mechanism::CallerSilence) &&
+      aUpstream.m_health.onSilence(aNow, aSurprise)) {
     record(aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = aUpstream.m_token });
   }
 }
@@ -135,6 +139,9 @@
 void
 TokenSteering::judgeOpenings(TimePoint aNow)
 {
+  if (!m_directory.mechanisms().isOn(Mechanism::Refusals)) {
+    return;
+  }
   m_openings.judge(aNow, m_flows, [&](const packet::FlowKey& aFlow, Token aToken) {
     Upstream* const upstream = m_directory.findUpstream(aToken);
     // While links lose many packets, copies of opening packets are lost, too.
@@ -153,7 +160,7 @@
 {
   Service& service = *aUpstream.m_service;
   const double median = service.m_responses.median();
-  if (median == 0) {
+  if (median == 0 || !m_directory.mechanisms().isOn(Mechanism::Pace)) {
     return;
   }
   const auto time = static_cast<double>(aTime.count());
