[steering] A data centre that is cut off is found out as a whole, and stranded hosts withdraw

Change: Reach judges a data centre by the repeated packets of all its upstreams together; Withdrawal makes a host not ready when it depends on other data centres, one of them is lost and no host of another one is heard.

Ruled out: refusing new flows at once while stranded; the fabric moves callers within two seconds, and a copy of the opening packet is then served, while a refusal uses up the caller's tries.

--- a/lib/base/Events.cpp
+++ b/lib/base/Events.cpp
@@ -72,6 +72,11 @@
   { EventId::DecisionsResumed,
     "decisions-resumed",
     "The process heard a peer or the platform again." },
+  { EventId::HostWithdrawn,
+    "host-withdrawn",
+    "No upstream can serve this host's callers and no host of another data centre is heard; it is "
+    "not ready, so that the fabric uses hosts elsewhere." },
+  { EventId::HostReturned, "host-returned", "The host is ready again." },
   { EventId::MapAdopted,
     "map-adopted",
     "The bucket map was taken from a peer or computed at first start." },
@@ -136,6 +141,14 @@
   { EventId::DataCentreBack,
     "data-centre-back",
     "A data centre is back; its upstreams count as cold." },
+  { EventId::DataCentreLost,
+    "data-centre-lost",
+    "Callers repeat packets to upstreams of a data centre and none of them answers; new flows "
+    "avoid "
+    "it." },
+  { EventId::DataCentreReached,
+    "data-centre-reached",
+    "An upstream of a data centre that was lost answered a caller." },
   { EventId::FlowOpened, "flow-opened", "A new flow got its upstream." },
   { EventId::FlowOpenedAgain,
     "flow-opened-again",
--- a/lib/base/Mechanisms.h
+++ b/lib/base/Mechanisms.h
@@ -24,13 +24,15 @@
   DeadResets,
   NeighbourRecords,
   GlancePages,
+  Reach,
+  Withdrawal,
 };
 
 /// The names in settings, in the order of Mechanism.
-inline constexpr std::array<std::string_view, 12> kMechanismNames{
+inline constexpr std::array<std::string_view, 14> kMechanismNames{
   "caller-silence",    "host-reports",  "pace",        "refusals",    "growing-avoidance",
   "near-first",        "four-compared", "cold-weight", "lapse-grace", "dead-resets",
-  "neighbour-records", "glance-pages",
+  "neighbour-records", "glance-pages",  "reach",       "withdrawal",
 };
 
 /// Those that are switched off; none unless a setting says so.
--- a/lib/dissemination/PeerMessages.cpp
+++ b/lib/dissemination/PeerMessages.cpp
@@ -126,6 +126,30 @@
   }
 }
 
+void
+Peers::addSearched(TimePoint aNow, std::vector<HostId>& aTargets)
+{
+  if (!m_isSearching || aNow - m_lastSearchAt < kSearchInterval) {
+    return;
+  }
+  m_lastSearchAt = aNow;
+  std::vector<HostId> elsewhere;
+  for (const auto& [host, peer] : m_peers) {
+    if (!m_peers.isNeighbour(peer) && !peer.m_isLeaving) {
+      elsewhere.push_back(host);
+    }
+  }
+  for (const HostId seed : m_options.m_seeds) {
+    if (seed != m_options.m_self && m_peers.find(seed) == nullptr) {
+      elsewhere.push_back(seed);
+    }
+  }
+  std::ranges::sort(elsewhere);
+  std::ranges::shuffle(elsewhere, m_random);
+  elsewhere.resize(std::min(elsewhere.size(), kMostSearched));
+  std::ranges::copy(elsewhere, std::back_inserter(aTargets));
+}
+
 std::vector<HostId>
 Peers::dueTargets(TimePoint aNow)
 {
@@ -139,6 +163,7 @@
     addRegular(aNow, targets);
   }
   addSeed(aNow, targets);
+  addSearched(aNow, targets);
   std::ranges::sort(targets);
   targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   return targets;
@@ -193,7 +218,7 @@
            .m_capacity = m_options.m_capacity,
            .m_isReader = servesOthers(aNow),
            .m_isLeaving = m_isLeaving,
-           .m_isAsking = aNow - m_confirmedAt > kOwnReadingAge,
+           .m_isAsking = m_isSearching || aNow - m_confirmedAt > kOwnReadingAge,
            .m_revision = aRevision,
            .m_ageMs = m_confirmedAt == TimePoint{} ? -1 : (aNow - m_confirmedAt).count(),
            .m_known = std::move(readers),
--- a/lib/dissemination/Peers.cpp
+++ b/lib/dissemination/Peers.cpp
@@ -184,6 +184,7 @@
   peer.m_confirmedAt =
     aStatus.m_ageMs < 0 ? TimePoint{} : aNow - Millis{ std::max<int64_t>(0, aStatus.m_ageMs) };
   m_hasHeardNeighbour = m_hasHeardNeighbour || m_peers.isNeighbour(peer);
+  m_heardElsewhereAt = m_peers.isNeighbour(peer) ? m_heardElsewhereAt : aNow;
   confirmThrough(peer);
   Reaction reaction{ .m_isPullDue = aStatus.m_revision > aOwnRevision };
   const bool isBehind = aStatus.m_revision < aOwnRevision;
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -62,6 +62,10 @@
 /// Hosts that a host greets at a time while its data centre has no reader, or that it asks while
 /// nothing confirms its records. A store that is down makes all hosts ask at once.
 inline constexpr size_t kMostGreetings = 4;
+/// A host that has to know whether it can reach other data centres asks so many of their hosts,
+/// this often.
+inline constexpr Millis kSearchInterval{ 150 };
+inline constexpr size_t kMostSearched = 2;
 /// Hosts without a reader tell so many of the best others, one of which follows it: at once, a few
 /// times while the election lasts, and rarely after, for then nobody reaches the store.
 inline constexpr size_t kElectors = 8;
@@ -117,6 +121,10 @@
   }
   /// A leaving host reads for itself but not for others.
   void setLeaving() { m_isLeaving = true; }
+  /// Whether to ask hosts of other data centres for a sign of life.
+  void setSearching(bool aIsSearching) { m_isSearching = aIsSearching; }
+  /// When a host of another data centre was last heard; the epoch before.
+  [[nodiscard]] TimePoint heardElsewhereAt() const { return m_heardElsewhereAt; }
   void setSeeds(std::vector<HostId> aSeeds) { m_options.m_seeds = std::move(aSeeds); }
 
   /// Whether there is a host besides this one to begin with.
@@ -164,6 +172,8 @@
   [[nodiscard]] size_t betterReaders(TimePoint aNow) const;
   /// Whether this host hears at least half of the hosts of its data centre, itself among them.
   [[nodiscard]] bool hearsHalf(TimePoint aNow) const;
+  /// Adds hosts of other data centres, or that may be of one, to be asked for a sign of life.
+  void addSearched(TimePoint aNow, std::vector<HostId>& aTargets);
   [[nodiscard]] bool isFreshReader(TimePoint aNow, const Peer& aPeer) const;
   /// Whether a peer is preferred to this host as a reader.
   [[nodiscard]] bool isBetter(HostId aHost, const Peer& aPeer) const;
@@ -199,6 +209,9 @@
   /// A host that was named is greeted before the next regular message.
   bool m_isGreetingDue{};
   bool m_hasHeardNeighbour{};
+  bool m_isSearching{};
+  TimePoint m_lastSearchAt;
+  TimePoint m_heardElsewhereAt;
   TimePoint m_startedAt;
   /// When no reader was left; the epoch while there is one.
   TimePoint m_unsettledSince;
--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -290,7 +290,7 @@
     if (aPath != m_settings.m_readinessPath) {
       return { .m_status = 404 };
     }
-    const bool isReady = m_isServing && m_stoppingAt == TimePoint{};
+    const bool isReady = m_isServing && m_stoppingAt == TimePoint{} && !m_host.isWithdrawn();
     return { .m_status = isReady ? 200 : 503 };
   }
 
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -282,11 +282,29 @@
     // Only readers tell others what changed.
     m_pushedRevision = m_registry.complete();
   }
+  updateWithdrawal(aNow);
   m_coldBudget.setOwner(aNow, m_peers.isSoleReader(aNow));
   refreshView(aNow);
   collectSightings();
 }
 
+void
+Host::updateWithdrawal(TimePoint aNow)
+{
+  const bool isAnyLost =
+    m_directory.mechanisms().isOn(Mechanism::Withdrawal) && m_directory.isAnyLost();
+  // Most of the time there is nothing to look into.
+  const bool isDependent = (isAnyLost || isWithdrawn()) && m_directory.isDependent();
+  const TimePoint heardAt = m_peers.heardElsewhereAt();
+  const bool hasChanged = m_withdrawal.update(aNow, { isDependent, isAnyLost, heardAt });
+  m_peers.setSearching(m_withdrawal.isInDoubt());
+  if (hasChanged) {
+    note(isWithdrawn() ? EventId::HostWithdrawn : EventId::HostReturned,
+         "dependent=" + std::string(isDependent ? "yes" : "no") +
+           " heard_elsewhere_ms=" + std::to_string(steering::ageOf(aNow, heardAt).count()));
+  }
+}
+
 void
 Host::note(EventId aEvent, std::string aFields)
 {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -6,6 +6,7 @@
 #include "dissemination/Peers.h"
 #include "edge/FirstRecords.h"
 #include "edge/Standstill.h"
+#include "edge/Withdrawal.h"
 #include "registry/Registry.h"
 #include "steering/TokenSteering.h"
 
@@ -101,6 +102,8 @@
   /// Whether the host knows routes and upstreams.
   [[nodiscard]] bool isLoaded() const { return m_registry.complete().isSet(); }
   [[nodiscard]] bool isReader() const { return m_isReader; }
+  /// Whether the fabric should use hosts of other data centres instead of this one.
+  [[nodiscard]] bool isWithdrawn() const { return m_withdrawal.isWithdrawn(); }
   [[nodiscard]] const std::string& dataCentre() const { return m_dataCentre; }
   [[nodiscard]] Millis viewAge(TimePoint aNow) const;
   [[nodiscard]] std::vector<Line> takeLines(TimePoint aNow);
@@ -122,6 +125,7 @@
   void noteHistory(registry::Revision aBefore, size_t aChanges, std::string_view aFrom);
   void refreshView(TimePoint aNow);
   void takeFlowLines(TimePoint aNow, std::vector<Line>& aLines);
+  void updateWithdrawal(TimePoint aNow);
   void collectSightings();
   void onSighting(TimePoint aNow, const dissemination::Sighting& aSighting);
 
@@ -141,6 +145,7 @@
   registry::Revision m_pushedRevision{};
   FirstRecords m_firstRecords;
   Standstill m_standstill;
+  Withdrawal m_withdrawal;
   /// Why the store is read for the first records; empty before it is.
   std::string m_firstReadingReason;
   TimePoint m_loadedAt;
--- a/lib/steering/ColdBudget.cpp
+++ b/lib/steering/ColdBudget.cpp
@@ -24,7 +24,7 @@
                    const Upstream& aUpstream,
                    const registry::ServiceRecord& aService)
 {
-  if (!m_isOwner || !aUpstream.m_isLocal) {
+  if (!m_isOwner || !aUpstream.isLocal()) {
     return false;
   }
   auto& placed = m_placed[aUpstream.m_token.m_value];
--- a/lib/steering/Directory.cpp
+++ b/lib/steering/Directory.cpp
@@ -229,6 +229,27 @@
   });
 }
 
+bool
+Directory::isDependent() const
+{
+  bool isAnyOpen = false;
+  for (const auto& upstream : m_upstreams) {
+    if (upstream->isOpen() && upstream->isLocal()) {
+      return false;
+    }
+    isAnyOpen = isAnyOpen || upstream->isOpen();
+  }
+  return isAnyOpen;
+}
+
+bool
+Directory::isAnyLost() const
+{
+  return std::ranges::any_of(m_dataCentres, [](const auto& aEntry) {
+    return !aEntry.second->m_isLocal && aEntry.second->m_reach.isSilent();
+  });
+}
+
 size_t
 Directory::heldBack() const
 {
@@ -246,7 +267,7 @@
     upstream->m_health = PassiveHealth(kFirstAvoidance);
   }
   upstream->m_token = makeToken(aRecord.m_identity, aRecord.m_startedAtMs);
-  upstream->m_isLocal = aRecord.m_dataCentre == m_dataCentre;
+  upstream->m_dataCentre = &dataCentreOf(aRecord.m_dataCentre);
   const uint64_t address = addressKey(aRecord.m_address, aRecord.m_port);
   Upstream*& holder = m_byAddress[address];
   if (holder != nullptr && holder->m_record.m_startedAtMs <= aRecord.m_startedAtMs &&
@@ -274,6 +295,7 @@
   const bool isDraining = aRecord.m_state == UpstreamState::Draining &&
                           aUpstream.m_record.m_state != UpstreamState::Draining;
   aUpstream.m_record = aRecord;
+  aUpstream.m_dataCentre = &dataCentreOf(aRecord.m_dataCentre);
   aUpstream.m_presence = Presence::Registered;
   const auto out = m_isOut.find(aRecord.m_dataCentre);
   aUpstream.m_isOut = out != m_isOut.end() && out->second;
@@ -289,6 +311,17 @@
   }
 }
 
+DataCentre&
+Directory::dataCentreOf(const std::string& aName)
+{
+  auto& dataCentre = m_dataCentres[aName];
+  if (!dataCentre) {
+    dataCentre = std::make_unique<DataCentre>(
+      DataCentre{ .m_name = aName, .m_isLocal = aName == m_dataCentre, .m_reach = {} });
+  }
+  return *dataCentre;
+}
+
 void
 Directory::indexToken(Upstream& aUpstream)
 {
@@ -339,7 +372,7 @@
   for (auto& [name, service] : m_services) {
     double strength = 0;
     for (const Upstream* upstream : service->m_upstreams) {
-      strength += upstream->m_isLocal && upstream->m_presence <= Presence::Lapsed ? 1 : 0;
+      strength += upstream->isLocal() && upstream->m_presence <= Presence::Lapsed ? 1 : 0;
     }
     const double fade = std::exp(-passed / static_cast<double>(kStrengthFade.count()));
     service->m_localStrength =
--- a/lib/steering/Directory.h
+++ b/lib/steering/Directory.h
@@ -9,6 +9,7 @@
 #include "steering/LoadMeter.h"
 #include "steering/Pace.h"
 #include "steering/PassiveHealth.h"
+#include "steering/Reach.h"
 #include "steering/ResponseTimes.h"
 #include "steering/Steering.h"
 
@@ -52,8 +53,9 @@
 struct Upstream
 {
   std::string m_name;
-  /// Never null once it stands in the directory.
+  /// These two are never null once it stands in the directory.
   Service* m_service{};
+  DataCentre* m_dataCentre{};
   registry::UpstreamRecord m_record;
   Token m_token;
   Presence m_presence{ Presence::Registered };
@@ -64,7 +66,6 @@
   Pace m_pace;
   LoadMeter m_requests{ kRequestFade };
   LoadMeter m_flows{ kFlowFade };
-  bool m_isLocal{};
   /// Callers that waited for its answers have been told that none will come.
   bool m_isGivenUp{};
   /// Its data centre is taken out.
@@ -76,6 +77,7 @@
   std::optional<registry::UpstreamRecord> m_restored;
   TimePoint m_restoredAt;
 
+  [[nodiscard]] bool isLocal() const { return m_dataCentre->m_isLocal; }
   [[nodiscard]] bool isCold(TimePoint aNow) const { return aNow < m_coldUntil; }
   /// Whether new flows may go there, cold or not.
   [[nodiscard]] bool isOpen() const
@@ -130,11 +132,16 @@
   [[nodiscard]] const Route* findRoute(Ipv4 aAddress, uint16_t aPort) const;
   [[nodiscard]] Upstream* findUpstream(Token aToken) const;
   [[nodiscard]] Service* findService(const std::string& aName) const;
+  [[nodiscard]] const auto& dataCentres() const { return m_dataCentres; }
   [[nodiscard]] size_t routes() const { return m_routes.size(); }
   [[nodiscard]] const std::vector<std::unique_ptr<Upstream>>& upstreams() const
   {
     return m_upstreams;
   }
+  /// Whether new flows can only go to upstreams of other data centres.
+  [[nodiscard]] bool isDependent() const;
+  /// Whether callers show that another data centre cannot be reached.
+  [[nodiscard]] bool isAnyLost() const;
   /// Entries and orders that wait since the store came back from a copy.
   [[nodiscard]] size_t heldBack() const;
   [[nodiscard]] const Mechanisms& mechanisms() const { return m_mechanisms; }
@@ -154,6 +161,7 @@
   void addUpstream(TimePoint aNow, const std::string& aName, const registry::UpstreamRecord&);
   void update(TimePoint aNow, Upstream& aUpstream, const registry::UpstreamRecord& aRecord);
   void setAbsent(TimePoint aNow, Upstream& aUpstream, Presence aPresence);
+  DataCentre& dataCentreOf(const std::string& aName);
   void indexToken(Upstream& aUpstream);
   void forget(Upstream& aUpstream);
   void believe(EventId aEvent, const Upstream& aUpstream, std::string aExtra = {});
@@ -164,6 +172,8 @@
   /// Where a route of the configuration stands in m_routes, by its name.
   absl::flat_hash_map<std::string, uint64_t> m_routeKeys;
   absl::flat_hash_map<std::string, std::unique_ptr<Service>> m_services;
+  /// Of all upstreams that were ever seen.
+  absl::flat_hash_map<std::string, std::unique_ptr<DataCentre>> m_dataCentres;
   std::vector<std::unique_ptr<Upstream>> m_upstreams;
   absl::flat_hash_map<uint32_t, Upstream*> m_byToken;
   /// The newest start under each name.
--- a/lib/steering/Placement.cpp
+++ b/lib/steering/Placement.cpp
@@ -125,10 +125,10 @@
       continue;
     }
     if (upstream->m_token == aRequest.m_avoid || upstream->m_health.isAvoided(aNow) ||
-        upstream->m_pace.isSlow(aNow)) {
+        upstream->m_pace.isSlow(aNow) || upstream->m_dataCentre->m_reach.isLost(aNow)) {
       avoided.see(*upstream, m_random);
     } else {
-      (upstream->m_isLocal || !isNearFirst ? local : remote).see(*upstream, m_random);
+      (upstream->isLocal() || !isNearFirst ? local : remote).see(*upstream, m_random);
     }
   }
   // The upstreams that are left keep the load that they had; the rest goes to other data centres.
--- a/lib/steering/PlacementTest.cpp
+++ b/lib/steering/PlacementTest.cpp
@@ -42,7 +42,7 @@
       fixture.wait(Millis{ 15 });
       const Token token = fixture.open(flow);
       fixture.goOn(flow, token);
-      local += fixture.upstream(token).m_isLocal ? 1 : 0;
+      local += fixture.upstream(token).isLocal() ? 1 : 0;
     }
     return local;
   };
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -130,12 +130,27 @@
                            Upstream& aUpstream,
                            double aSurprise)
 {
+  if (m_directory.mechanisms().isOn(Mechanism::Reach) &&
+      aUpstream.m_dataCentre->m_reach.onSilence(aNow)) {
+    record(aNow, aPacket, { .m_event = EventId::DataCentreLost, .m_token = aUpstream.m_token });
+  }
   if (m_directory.mechanisms().isOn(Mechanism::CallerSilence) &&
       aUpstream.m_health.onSilence(aNow, aSurprise)) {
     record(aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = aUpstream.m_token });
   }
 }
 
+void
+TokenSteering::noteLife(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream)
+{
+  if (aUpstream.m_health.onProgress(aNow)) {
+    record(aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
+  }
+  if (aUpstream.m_dataCentre->m_reach.onLife()) {
+    record(aNow, aPacket, { .m_event = EventId::DataCentreReached, .m_token = aUpstream.m_token });
+  }
+}
+
 void
 TokenSteering::judgeOpenings(TimePoint aNow)
 {
@@ -217,6 +232,7 @@
   chosen->m_requests.add(aNow);
   chosen->m_flows.add(aNow);
   chosen->m_health.onTried(aNow);
+  chosen->m_dataCentre->m_reach.onTried(aNow);
   const bool isAgain = aPacket.m_copy > 0;
   const bool isJustStarted = aNow - m_view.m_loadedAt < kUnwatchedStart;
   if (!isAgain && !isJustStarted) {
@@ -361,8 +377,8 @@
                              Upstream& aUpstream,
                              Repetition aSeen)
 {
-  if (aSeen.m_isProgress && aUpstream.m_health.onProgress(aNow)) {
-    record(aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
+  if (aSeen.m_isProgress) {
+    noteLife(aNow, aPacket, aUpstream);
   }
   if (aSeen.m_evidence > 0) {
     noteSilence(aNow, aPacket, aUpstream, aSeen.m_evidence);
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -132,6 +132,7 @@
                    const FlowPacket& aPacket,
                    Upstream& aUpstream,
                    double aSurprise);
+  void noteLife(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream);
   /// Weighs how long an answer took, or how long a caller has waited for one.
   void judgePace(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream, Millis aTime);
   [[nodiscard]] bool isViewTrusted(TimePoint aNow) const;
