[edge] A host that tells of a history that the store never had mutes nobody for good

Cause: since records are ordered by history, one host with a wrong one (a bug, a damaged datagram, another store) would be taken for newer by all, and the store's own answers for old ones, for ever. Change: three answers of the store in a row of an earlier history, to watches or readings that may not be old, say that the records are false. The host reads everything anew and believes nobody who tells of that history until the store does. Test: HistoryTest (failed before: the host stayed in the false history).

--- a/lib/base/Events.cpp
+++ b/lib/base/Events.cpp
@@ -63,6 +63,9 @@
     "store-history-changed",
     "The store came back from a copy without its last changes; this host decides by what it says "
     "now." },
+  { EventId::HistoryContradicted,
+    "history-contradicted",
+    "The store is in an earlier history than another host told; its records are read anew." },
   { EventId::HostHeard,
     "host-heard",
     "A host answered a heartbeat for the first time since it was lost." },
--- a/lib/base/Events.h
+++ b/lib/base/Events.h
@@ -36,6 +36,7 @@
   TransferFailed = 221,
   FirstReading = 222,
   StoreHistoryChanged = 223,
+  HistoryContradicted = 224,
   HostHeard = 300,
   HostLost = 301,
   HostLeaving = 302,
--- a/lib/dissemination/Peers.h
+++ b/lib/dissemination/Peers.h
@@ -107,6 +107,12 @@
   void onOwnConfirmation(TimePoint aAt);
   /// The records of this host reached a revision, by whatever way.
   void onRevision(registry::Revision aRevision);
+  /// The records turned out to be false.
+  void forgetRevision()
+  {
+    m_revision = {};
+    m_confirmedAt = {};
+  }
 
   /// Decides whether this host reads the store now. Call it at each tick.
   [[nodiscard]] bool updateReading(TimePoint aNow);
--- a/lib/edge/HistoryTest.cpp
+++ b/lib/edge/HistoryTest.cpp
@@ -230,6 +230,42 @@
   CHECK_FALSE(behind.m_host.onStatus(behind.m_now, status).m_isPullDue);
 }
 
+TEST_CASE("a host that tells of a history that the store never had mutes nobody for good")
+{
+  Fixture fixture({ 3, 200 });
+  registry::Registry liar;
+  liar.merge(everything({ 1ULL << 40, 1ULL << 40 }, 1), false);
+  fixture.m_host.onDifference(fixture.m_now, liar.changesSince({}), HostId{ 66 });
+  CHECK(fixture.m_host.registry().complete().m_history == 1ULL << 40);
+
+  // The store goes on in its history; what was on its way once is no contradiction.
+  for (int answers = 0; answers < kContradictions; ++answers) {
+    CHECK(fixture.linesOf(EventId::HistoryContradicted).empty());
+    REQUIRE(fixture.m_store.m_done);
+    fixture.m_store.answer(Reading{ .m_revision = { 3, 201 } });
+    if (answers + 1 < kContradictions) {
+      fixture.run(kCallInterval);
+    }
+  }
+  CHECK(fixture.linesOf(EventId::HistoryContradicted).size() == 1);
+  for (int step = 0; step < 20 && !fixture.m_host.isReader(); ++step) {
+    fixture.run(Millis{ 100 });
+  }
+  fixture.run(kCallInterval);
+  REQUIRE(fixture.m_store.m_done);
+  fixture.m_store.answer(everything({ 3, 210 }, 3));
+  CHECK(fixture.m_host.registry().complete() == Revision{ 3, 210 });
+  CHECK(fixture.serves(3));
+  fixture.m_host.onDifference(fixture.m_now, liar.changesSince({}), HostId{ 66 });
+  CHECK(fixture.m_host.registry().complete() == Revision{ 3, 210 });
+  const auto reaction = fixture.m_host.onStatus(fixture.m_now,
+                                                { .m_sender = HostId{ 66 },
+                                                  .m_dataCentre = "natal",
+                                                  .m_incarnation = 1,
+                                                  .m_revision = { 1ULL << 40, 1 } });
+  CHECK_FALSE(reaction.m_isPullDue);
+}
+
 TEST_CASE("a host of an earlier history confirms nothing, however fresh it says that it is")
 {
   Fixture fixture({ 4, 140 });
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -53,6 +53,9 @@
     note(EventId::RecordRefused, "item=\"" + refused + "\"");
   }
   const registry::Revision before = m_registry.complete();
+  if (aReading.m_revision.m_history >= m_falseHistory) {
+    m_falseHistory = 0;
+  }
   const auto changes = m_registry.merge(aReading, aIsDisturbed);
   onChanges(aNow, changes);
   noteHistory(before, changes.size(), "store");
@@ -95,6 +98,9 @@
 void
 Host::onDifference(TimePoint aNow, const registry::Difference& aDifference, HostId aFrom)
 {
+  if (!isBelieved(aDifference.m_revision)) {
+    return;
+  }
   const registry::Revision before = m_registry.complete();
   const auto changes = m_registry.merge(aDifference);
   onChanges(aNow, changes);
@@ -133,6 +139,10 @@
   const Millis delay = m_standstill.statusDelay();
   dissemination::Status dated = aStatus;
   dated.m_ageMs += dated.m_ageMs < 0 ? 0 : delay.count();
+  if (!isBelieved(dated.m_revision)) {
+    dated.m_revision = {};
+    dated.m_ageMs = -1;
+  }
   const dissemination::Reaction reaction = m_peers.onStatus(aNow, dated, m_registry.complete());
   if (!isLoaded()) {
     m_firstRecords.onAnswer(aStatus.m_revision.isSet());
@@ -146,6 +156,19 @@
   return reaction;
 }
 
+void
+Host::onContradiction(registry::History aHistoryOfStore)
+{
+  const registry::Revision held = m_registry.complete();
+  note(EventId::HistoryContradicted,
+       "revision=" + registry::formatRevision(held) +
+         " history_of_store=" + std::to_string(aHistoryOfStore));
+  m_falseHistory = held.m_history;
+  m_registry.distrust();
+  m_pushedRevision = {};
+  m_peers.forgetRevision();
+}
+
 bool
 Host::isPullWanted(TimePoint aNow, const dissemination::Status& aStatus) const
 {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -75,6 +75,9 @@
   /// Takes a page of the first answer in, so that open flows can be served.
   void onPage(TimePoint aNow, const registry::Reading& aPage);
   void onDifference(TimePoint aNow, const registry::Difference& aDifference, HostId aFrom);
+  /// The store itself is in an earlier history than the records, which another host told. Nobody is
+  /// believed any more who tells of that history, until the store does.
+  void onContradiction(registry::History aHistoryOfStore);
   dissemination::Reaction onStatus(TimePoint aNow, const dissemination::Status& aStatus);
   void tick(TimePoint aNow);
   /// Something that this host came to believe, for the log.
@@ -125,6 +128,10 @@
   void noteHistory(registry::Revision aBefore, size_t aChanges, std::string_view aFrom);
   void refreshView(TimePoint aNow);
   void takeFlowLines(TimePoint aNow, std::vector<Line>& aLines);
+  [[nodiscard]] bool isBelieved(registry::Revision aRevision) const
+  {
+    return m_falseHistory == 0 || aRevision.m_history < m_falseHistory;
+  }
   void updateWithdrawal(TimePoint aNow);
   void collectSightings();
   void onSighting(TimePoint aNow, const dissemination::Sighting& aSighting);
@@ -143,6 +150,8 @@
   /// Events of the steering that were looked through for sightings.
   size_t m_sightedEvents{};
   registry::Revision m_pushedRevision{};
+  /// The earliest history that the store contradicted; 0 when it never did.
+  registry::History m_falseHistory{};
   FirstRecords m_firstRecords;
   Standstill m_standstill;
   Withdrawal m_withdrawal;
--- a/lib/edge/StoreFollower.h
+++ b/lib/edge/StoreFollower.h
@@ -26,6 +26,9 @@
 /// Pages that a starting host reads at once: upstreams, the configuration, and the rest of the
 /// upstreams of a small fleet.
 inline constexpr int kGlancePages = 3;
+/// Answers in a row that name an earlier history than the records, from which on the records are
+/// false. One may have been on its way when the store came back from a copy.
+inline constexpr int kContradictions = 3;
 /// An upstream's entry needs three heartbeats of 1.2 s to lapse, so a removal this long after a
 /// failure of the store may come from the failure.
 inline constexpr Millis kDisturbanceLife{ 4000 };
@@ -152,6 +155,16 @@
       m_host.note(EventId::StoreRegained,
                   "revision=" + registry::formatRevision(aReading.m_revision));
     }
+    const bool isEarlier = (aWasWatch || !m_isOldAllowed) &&
+                           aReading.m_revision.m_history < m_host.registry().complete().m_history;
+    m_contradictions = isEarlier ? m_contradictions + 1 : 0;
+    if (isEarlier) {
+      if (m_contradictions >= kContradictions) {
+        m_host.onContradiction(aReading.m_revision.m_history);
+        m_contradictions = 0;
+      }
+      return;
+    }
     if (aWasWatch && m_host.registry().isSuperseded(aReading)) {
       // Its revisions are of another history: only a reading of everything tells what was lost.
       m_disturbedAt = aNow;
@@ -215,6 +228,7 @@
   TimePoint m_nextAt;
   TimePoint m_disturbedAt;
   Millis m_retry{};
+  int m_contradictions{};
   uint64_t m_failures{};
   uint64_t m_unnamedHistories{};
 };
--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -243,6 +243,17 @@
   return changed;
 }
 
+void
+Registry::distrust()
+{
+  for (auto& [key, versioned] : m_records) {
+    versioned.m_revision = {};
+  }
+  m_complete = {};
+  m_floor = {};
+  m_needsEverything = false;
+}
+
 Difference
 Registry::changesSince(Revision aRevision) const
 {
--- a/lib/registry/Registry.h
+++ b/lib/registry/Registry.h
@@ -33,6 +33,10 @@
   /// Merges what another host told. Returns what changed here; nothing when a part is missing.
   std::vector<Change> merge(const Difference& aDifference);
 
+  /// Treats all records as old ones, so that the next reading of everything replaces them, of
+  /// whatever history it is.
+  void distrust();
+
   /// What a host that holds everything up to a revision lacks.
   [[nodiscard]] Difference changesSince(Revision aRevision) const;
 
