--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# A host must not reset an open flow for what it saw during a cut that healed more than 4 s ago (FLOW).
+cd "$(dirname "$0")/../.." || exit 2
+. review/run-scenario.sh
+run_scenario stale-verdict review/3
