--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# A SYN copy from a port that is in use again must follow the newest configuration (CONFIG).
+cd "$(dirname "$0")/../.." || exit 2
+. review/run-scenario.sh
+run_scenario reused-port review/4
