--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A host that restarts at the end of an evacuation must spare cold endpoints (FAILBACK).
+# Endpoints that are full answer no SYN; the flows that they hold must go on (FLOW).
 cd "$(dirname "$0")/../.." || exit 2
 . review/run-scenario.sh
-run_scenario cold-after-evacuation review/5
+run_scenario full-endpoints review/5
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -194,7 +194,10 @@
 }
 
 Server&
-Fleet::addServer(const std::string& aService, const std::string& aZone, int64_t aWorkMs)
+Fleet::addServer(const std::string& aService,
+                 const std::string& aZone,
+                 int64_t aWorkMs,
+                 size_t aMaxFlows)
 {
   const auto number = static_cast<uint32_t>(m_servers.size()) + 1;
   m_servers.push_back(std::make_unique<Server>(
@@ -205,7 +208,8 @@
                    .m_service = aService,
                    .m_zone = aZone,
                    .m_address = { address(kServerNet, number), kDataPort },
-                   .m_workMs = aWorkMs }));
+                   .m_workMs = aWorkMs,
+                   .m_maxFlows = aMaxFlows }));
   return *m_servers.back();
 }
 
@@ -239,10 +243,10 @@
   }
   std::string services;
   for (const ServiceOptions& service : aServices) {
-    services +=
-      (services.empty() ? "" : ",") + std::string("{\"name\":") + quote(service.m_name) +
-      R"(,"health_path":"/health","max_conns":2000,"proto":"h1","tls":false,"warmup_s":)" +
-      service.m_warmUpSeconds + ",\"warmup_per_s\":" + service.m_warmUpPerSecond + "}";
+    services += (services.empty() ? "" : ",") + std::string("{\"name\":") + quote(service.m_name) +
+                R"(,"health_path":"/health","max_conns":)" + std::to_string(service.m_maxFlows) +
+                R"(,"proto":"h1","tls":false,"warmup_s":)" + service.m_warmUpSeconds +
+                ",\"warmup_per_s\":" + service.m_warmUpPerSecond + "}";
   }
   m_store->put("op/config",
                "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + routes +
--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -32,6 +32,7 @@
   std::string m_name;
   std::string m_warmUpSeconds{ "2.0" };
   std::string m_warmUpPerSecond{ "0.0" };
+  size_t m_maxFlows{ 2000 };
 };
 
 class Fleet
@@ -55,7 +56,10 @@
   [[nodiscard]] bool areHostsRunning();
   [[nodiscard]] bool areHostsInRotation() const;
 
-  Server& addServer(const std::string& aService, const std::string& aZone, int64_t aWorkMs);
+  Server& addServer(const std::string& aService,
+                    const std::string& aZone,
+                    int64_t aWorkMs,
+                    size_t aMaxFlows = 2000);
   Client& addClient(const std::string& aZone);
   /// Writes a configuration.
   void configure(int aVersion,
--- a/review/standins/Main.cpp
+++ b/review/standins/Main.cpp
@@ -11,11 +11,9 @@
 using namespace review;
 
 const std::map<std::string, int (*)(Scene&)> kScenarios{
-  { "foreign-entry", runForeignEntry },
-  { "large-entries", runLargeEntries },
-  { "reused-port", runReusedPort },
-  { "stale-verdict", runStaleVerdict },
-  { "cold-after-evacuation", runColdAfterEvacuation },
+  { "foreign-entry", runForeignEntry }, { "large-entries", runLargeEntries },
+  { "reused-port", runReusedPort },     { "full-endpoints", runFullEndpoints },
+  { "stale-verdict", runStaleVerdict }, { "cold-after-evacuation", runColdAfterEvacuation },
 };
 
 int
--- a/review/standins/Scenario.h
+++ b/review/standins/Scenario.h
@@ -28,6 +28,9 @@
 /// A host keeps its verdict on an endpoint after a cut has healed.
 int
 runStaleVerdict(Scene& aScene);
+/// A crowd of users fills the endpoints of a service.
+int
+runFullEndpoints(Scene& aScene);
 /// A client uses a port again, and the first copies of the SYN are lost with a host.
 int
 runReusedPort(Scene& aScene);
--- a/review/standins/Server.cpp
+++ b/review/standins/Server.cpp
@@ -120,7 +120,7 @@
   const auto flow = m_flows.find(packet->flowFromClient());
   if (packet->has(kRst)) {
     if (flow != m_flows.end()) {
-      flow->second.m_isEnded = true;
+      endFlow(flow->second);
     }
     return;
   }
@@ -138,9 +138,13 @@
 Server::onSyn(const Packet& aPacket)
 {
   const FlowKey key = aPacket.flowFromClient();
+  if (m_openFlows >= m_options.m_maxFlows && !isOpen(key)) {
+    return;
+  }
   Flow& flow = m_flows[key];
   if (flow.m_clientSequence != aPacket.m_sequence || flow.m_ownSequence == 0) {
     const auto own = static_cast<uint32_t>(mix(m_options.m_id, aPacket.m_sequence) | 1);
+    endFlow(flow);
     flow = { .m_clientSequence = aPacket.m_sequence,
              .m_ownSequence = own,
              .m_received = aPacket.m_sequence + 1,
@@ -172,6 +176,7 @@
     }
     return;
   }
+  m_openFlows += aFlow.m_isOpen ? 0 : 1;
   aFlow.m_isOpen = true;
   aFlow.m_acknowledged = std::max(aFlow.m_acknowledged, aPacket.m_acknowledged);
   if (!aPacket.m_data.empty() && aPacket.m_sequence == aFlow.m_received) {
@@ -179,11 +184,18 @@
     startRequest(key, requestId(aPacket.m_data));
   }
   if (aPacket.has(kFin)) {
-    aFlow.m_isEnded = true;
+    endFlow(aFlow);
     send(makePacket(key, aFlow, kFin | kAck));
   }
 }
 
+void
+Server::endFlow(Flow& aFlow)
+{
+  m_openFlows -= aFlow.m_isOpen && !aFlow.m_isEnded ? 1 : 0;
+  aFlow.m_isEnded = true;
+}
+
 void
 Server::startRequest(const FlowKey& aFlow, const std::string& aId)
 {
--- a/review/standins/Server.h
+++ b/review/standins/Server.h
@@ -19,6 +19,8 @@
   SocketAddress m_address;
   /// Time that a request takes.
   int64_t m_workMs{ 60 };
+  /// Flows that it holds; when it is full, it answers no SYN.
+  size_t m_maxFlows{ 2000 };
 };
 
 /// A new flow, as an endpoint took it.
@@ -75,6 +77,7 @@
   void onDatagram(std::string_view aBytes);
   void onSyn(const Packet& aPacket);
   void onFlowPacket(const Packet& aPacket, Flow& aFlow);
+  void endFlow(Flow& aFlow);
   void startRequest(const FlowKey& aFlow, const std::string& aId);
   void respond(const FlowKey& aFlow, const std::string& aId);
   /// Sends the response again while it is not acknowledged.
@@ -96,6 +99,8 @@
   std::map<FlowKey, Flow> m_flows;
   std::vector<Opening> m_openings;
   std::set<std::string> m_runs;
+  /// Flows that are open here.
+  size_t m_openFlows{};
   /// When each slot is free again.
   std::array<int64_t, 4> m_slots{};
 };
