[steering] An entry of another writer takes no address from a running upstream

All hosts reset the open flows of the upstream within half a second, posts at work among them, and sent it no new flow any more.

Cause: ServiceDirectory::addUpstream marked the owner of an address as Ended as soon as any entry named the address, whatever its service, and although the owner's entry stood and was renewed. Registry::apply drops renewals that change nothing, so nothing made the upstream Registered again. A restart under the same name would have looked alike in the log: upstream-ended names its reason now.

Change: an entry only claims an address. The registry tells which entries were written again. The holder of an address has ended if its entry is gone, or gave no sign of life (renewal, response) for 2 s while other entries were renewed, and the claiming entry was written later and is of a service that the configuration names. Silence of the store is not silence of an upstream: counting restarts after a disturbance or a gap of all renewals. The claimant gets no flows meanwhile (address-conflict).

Same cause on related paths: an entry of an unnamed service in the place of an upstream's own entry makes it missing, not ended, and the next heartbeat revives the same instance; a copy of an entry under another name no longer takes its token; an entry that changes its address no longer leaves a dangling reference in the index by address.

--- a/lib/base/Events.cpp
+++ b/lib/base/Events.cpp
@@ -138,6 +138,10 @@
   { EventId::UpstreamRefuses,
     "upstream-refuses",
     "A caller did not go on with a new flow; new flows avoid the upstream for a while." },
+  { EventId::AddressConflict,
+    "address-conflict",
+    "An entry names the address of an upstream whose own entry stands; it gets no flows "
+    "meanwhile." },
   { EventId::DataCentreOut,
     "data-centre-out",
     "A data centre was taken out; its flows are reset." },
--- a/lib/base/Events.h
+++ b/lib/base/Events.h
@@ -68,6 +68,7 @@
   UpstreamSlow = 517,
   AnswerSlow = 518,
   UpstreamRefuses = 519,
+  AddressConflict = 520,
   DataCentreOut = 600,
   DataCentreBack = 601,
   DataCentreLost = 602,
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -61,6 +61,9 @@
     m_distrustedHistory = 0;
   }
   const auto changes = m_registry.merge(aUpdate, aIsDisturbed);
+  if (aIsDisturbed) {
+    m_directory.restartSilence(aNow);
+  }
   onChanges(aNow, changes);
   logHistoryChange(before, changes.size(), "store");
   m_peers.onRevision(m_registry.appliedRevision());
@@ -97,6 +100,7 @@
 {
   m_directory.setRegistrationLogging(false);
   m_directory.apply(aNow, m_registry.merge(aPage, false));
+  m_directory.applyRenewals(aNow, m_registry.renewals());
 }
 
 void
@@ -124,6 +128,7 @@
                " records=" + std::to_string(m_registry.size()));
   }
   m_directory.apply(aNow, aChanges);
+  m_directory.applyRenewals(aNow, m_registry.renewals());
 }
 
 dissemination::StatusActions
@@ -172,6 +177,7 @@
              " history_of_store=" + std::to_string(aHistoryOfStore));
   m_distrustedHistory = revision.m_history;
   m_registry.resetRevisions();
+  m_directory.resetRevisions();
   m_lastPushedRevision = {};
   m_peers.resetRevision();
 }
--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -82,7 +82,13 @@
     return false;
   }
   const bool isRemoval = !aChange.m_record.has_value();
+  if (!isRemoval && aChange.m_key.m_kind == RecordKind::Upstream) {
+    m_renewals.push_back({ aChange.m_key.m_name, aChange.m_revision });
+  }
   if (found != m_records.end() && isWarmUpProgress(found->second.m_record, aChange.m_record)) {
+    // The revision is kept up to date, since hosts that get deltas of this one need the renewal.
+    found->second.m_revision = aChange.m_revision;
+    found->second.m_record = aChange.m_record;
     return false;
   }
   if (found == m_records.end()) {
@@ -174,6 +180,7 @@
 Registry::merge(const StoreUpdate& aUpdate, bool aIsStoreUnstable)
 {
   std::vector<Change> changed;
+  m_renewals.clear();
   const bool isOutdated =
     aUpdate.m_isSnapshot
       ? aUpdate.m_revision < m_appliedRevision
@@ -213,6 +220,9 @@
   m_appliedRevision = std::max(m_appliedRevision, aUpdate.m_revision);
   compactRemovals();
   setRestored(changed, isRestored);
+  if (isRestored) {
+    m_renewals.clear();
+  }
   return changed;
 }
 
@@ -220,6 +230,7 @@
 Registry::merge(const Delta& aDelta)
 {
   std::vector<Change> changed;
+  m_renewals.clear();
   const bool isRestored =
     m_appliedRevision.isSet() && aDelta.m_revision.m_history > m_appliedRevision.m_history;
   const bool isBaseMissing =
@@ -268,6 +279,9 @@
   m_appliedRevision = std::max(m_appliedRevision, aDelta.m_revision);
   compactRemovals();
   setRestored(changed, isRestored);
+  if (isRestored) {
+    m_renewals.clear();
+  }
   return changed;
 }
 
--- a/lib/registry/Registry.h
+++ b/lib/registry/Registry.h
@@ -31,6 +31,13 @@
   std::vector<Change> m_changes;
 };
 
+/// A record of an upstream that was written again, changed or not.
+struct Renewal
+{
+  std::string m_name;
+  Revision m_revision{};
+};
+
 class Registry
 {
 public:
@@ -42,6 +49,10 @@
   /// base is newer than the applied revision, and one of an older history.
   std::vector<Change> merge(const Delta& aDelta);
 
+  /// The records of upstreams that were written after those held before the last merge. Empty after
+  /// a merge that adopted a newer history, whose records may be older than the ones they replace.
+  [[nodiscard]] std::span<const Renewal> renewals() const { return m_renewals; }
+
   /// Marks all records as older than any revision, so that the next snapshot replaces them,
   /// whichever history it belongs to.
   void resetRevisions();
@@ -104,6 +115,8 @@
 
   /// All records. At most kMaxRemovals entries are of removed records.
   std::map<RecordKey, VersionedRecord> m_records;
+  /// See renewals().
+  std::vector<Renewal> m_renewals;
   /// Number of entries of removed records in m_records.
   size_t m_removals{};
   Revision m_appliedRevision{};
--- a/lib/registry/RegistryTest.cpp
+++ b/lib/registry/RegistryTest.cpp
@@ -217,6 +217,30 @@
       .size() == 1);
 }
 
+TEST_CASE("renewals of unchanged entries are told, also to a host that gets a delta")
+{
+  Registry reader;
+  Registry host;
+  reader.merge(snapshot(2, { upstream("a", 1), upstream("b", 2, 2000) }), false);
+  host.merge(reader.changesSince({}));
+  const StoreUpdate heartbeats{ .m_revision = { .m_number = 4 },
+                                .m_changes = { upstream("a", 3), upstream("b", 4, 800) } };
+  CHECK(reader.merge(heartbeats, false).empty());
+  CHECK(reader.renewals().size() == 2);
+  CHECK(host.merge(reader.changesSince({ .m_number = 2 })).empty());
+  REQUIRE(host.renewals().size() == 2);
+  CHECK(host.renewals()[0].m_name == "a");
+  CHECK(host.renewals()[0].m_revision == Revision{ .m_number = 3 });
+  // Merged again, and as part of a restored store, the same entries show no sign of life.
+  reader.merge(heartbeats, false);
+  CHECK(reader.renewals().empty());
+  StoreUpdate restored = snapshot(3, { upstream("a", 3) });
+  restored.m_revision.m_history = 1;
+  restored.m_changes[0].m_revision.m_history = 1;
+  reader.merge(restored, false);
+  CHECK(reader.renewals().empty());
+}
+
 TEST_CASE("a host gets missing changes from another host as a delta, or as a snapshot")
 {
   Registry reader;
--- /dev/null
+++ b/lib/steering/AddressClaims.cpp
@@ -0,0 +1,145 @@
+// Decides which upstream holds an address that several entries of the registry name. The later
+// entry may be that of a successor, or of another writer that does not own the address. The holder
+// has ended if its entry is gone, or is no longer renewed while the other one is.
+#include "steering/ServiceDirectory.h"
+
+#include <algorithm>
+
+namespace tamarack::steering {
+
+void
+ServiceDirectory::applyRenewals(TimePoint aNow, std::span<const registry::Renewal> aRenewals)
+{
+  if (aRenewals.empty()) {
+    return;
+  }
+  if (aNow - m_lastRenewalAt > kMaxRenewalGap) {
+    restartSilence(aNow);
+  }
+  m_lastRenewalAt = aNow;
+  for (const registry::Renewal& renewal : aRenewals) {
+    const auto found = m_upstreamByName.find(renewal.m_name);
+    if (found == m_upstreamByName.end() || found->second->m_renewedRevision >= renewal.m_revision) {
+      continue;
+    }
+    Upstream& upstream = *found->second;
+    upstream.m_renewedRevision = renewal.m_revision;
+    upstream.m_isRenewed = true;
+    upstream.m_lastSignOfLifeAt = aNow;
+    if (upstream.m_registration == RegistrationState::Ended && !upstream.m_heldRecord) {
+      // The holder of the address was silent for a while, but its entry was never removed.
+      updateUpstream(aNow, upstream, registry::UpstreamRecord(upstream.m_record));
+    }
+  }
+  resolveAddressClaims(aNow);
+}
+
+void
+ServiceDirectory::resetRevisions()
+{
+  for (const auto& upstream : m_upstreams) {
+    upstream->m_renewedRevision = {};
+  }
+}
+
+bool
+ServiceDirectory::isSilent(const Upstream& aUpstream) const
+{
+  // Renewals arrive in the order in which they were written, so that of this entry would have
+  // arrived by the time of the latest one.
+  return m_lastRenewalAt - std::max(aUpstream.m_lastSignOfLifeAt, m_silenceSince) >=
+         kSilenceTimeout;
+}
+
+bool
+ServiceDirectory::displaces(const Upstream& aClaimant, const Upstream& aHolder) const
+{
+  if (aHolder.m_registration == RegistrationState::Ended) {
+    return true;
+  }
+  if (aClaimant.m_registration != RegistrationState::Registered ||
+      !aClaimant.m_service->isNamed()) {
+    return false;
+  }
+  if (!aHolder.m_service->isNamed()) {
+    return true;
+  }
+  const bool isSuccessor =
+    aClaimant.m_isRenewed || aClaimant.m_record.m_startedAtMs >= aHolder.m_record.m_startedAtMs;
+  return isSuccessor && aClaimant.m_renewedRevision > aHolder.m_renewedRevision &&
+         (aHolder.m_registration != RegistrationState::Registered || isSilent(aHolder));
+}
+
+void
+ServiceDirectory::claimAddress(TimePoint aNow, Upstream& aUpstream)
+{
+  Upstream*& holder =
+    m_upstreamByAddress[addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port)];
+  if (holder == &aUpstream || aUpstream.m_hasAddressConflict) {
+    return;
+  }
+  if (holder == nullptr || displaces(aUpstream, *holder)) {
+    if (holder != nullptr && holder->m_registration != RegistrationState::Ended) {
+      setUnregistered(
+        aNow, *holder, RegistrationState::Ended, "address-taken by=" + aUpstream.m_name);
+    }
+    holder = &aUpstream;
+    return;
+  }
+  // While this host has seen neither entry renewed, the one that was written last is more likely to
+  // belong to a running upstream.
+  const bool isLater = !holder->m_isRenewed && !aUpstream.m_isRenewed &&
+                       aUpstream.m_service->isNamed() &&
+                       aUpstream.m_renewedRevision > holder->m_renewedRevision;
+  Upstream& claimant = isLater ? *std::exchange(holder, &aUpstream) : aUpstream;
+  setAddressConflict(claimant, true);
+  addUpstreamEvent(EventId::AddressConflict, claimant, " held_by=" + holder->m_name);
+}
+
+void
+ServiceDirectory::resolveAddressClaims(TimePoint aNow)
+{
+  for (size_t index = 0; index < m_addressClaimants.size();) {
+    Upstream& claimant = *m_addressClaimants[index];
+    Upstream*& holder =
+      m_upstreamByAddress[addressKey(claimant.m_record.m_address, claimant.m_record.m_port)];
+    if (holder != nullptr && !displaces(claimant, *holder)) {
+      ++index;
+      continue;
+    }
+    if (holder != nullptr && holder->m_registration != RegistrationState::Ended) {
+      setUnregistered(
+        aNow, *holder, RegistrationState::Ended, "address-taken by=" + claimant.m_name);
+    }
+    holder = &claimant;
+    setAddressConflict(claimant, false);
+  }
+}
+
+void
+ServiceDirectory::releaseAddress(Upstream& aUpstream)
+{
+  const auto holder =
+    m_upstreamByAddress.find(addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port));
+  if (holder != m_upstreamByAddress.end() && holder->second == &aUpstream) {
+    m_upstreamByAddress.erase(holder);
+  }
+  setAddressConflict(aUpstream, false);
+}
+
+void
+ServiceDirectory::setAddressConflict(Upstream& aUpstream, bool aHasConflict)
+{
+  if (aUpstream.m_hasAddressConflict == aHasConflict) {
+    return;
+  }
+  aUpstream.m_hasAddressConflict = aHasConflict;
+  aUpstream.m_service->m_areOpenUpstreamsStale = true;
+  if (aHasConflict) {
+    m_addressClaimants.push_back(&aUpstream);
+  } else {
+    std::erase(m_addressClaimants, &aUpstream);
+  }
+}
+
+} // namespace tamarack::steering
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -18,12 +18,6 @@
 /// good.
 constexpr Millis kLocalUpstreamsTimeConstant{ 20'000 };
 
-uint64_t
-addressKey(Ipv4 aAddress, uint16_t aPort)
-{
-  return uint64_t{ aAddress.m_value } << 16 | aPort;
-}
-
 } // namespace
 
 Token
@@ -90,6 +84,7 @@
 ServiceDirectory::applyService(const Change& aChange)
 {
   Service& service = findOrAddService(aChange.m_key.m_name);
+  service.m_isConfigured = aChange.m_record.has_value();
   if (aChange.m_record) {
     service.m_record = std::get<registry::ServiceRecord>(*aChange.m_record);
   }
@@ -178,24 +173,48 @@
     setUnregistered(aNow,
                     *known,
                     mayReturn ? RegistrationState::Lapsed
-                              : (hasLeft ? RegistrationState::Ended : RegistrationState::Missing));
+                              : (hasLeft ? RegistrationState::Ended : RegistrationState::Missing),
+                    hasLeft ? "left" : "entry-removed");
     return;
   }
   const auto& record = std::get<UpstreamRecord>(*aChange.m_record);
   if (known != nullptr && aChange.m_isRestored && holdRestoredRecord(aNow, *known, record)) {
     return;
   }
-  const bool isSameInstance = known != nullptr && known->m_record.m_identity == record.m_identity &&
-                              known->m_record.m_startedAtMs == record.m_startedAtMs &&
-                              known->m_record.m_service == record.m_service;
-  if (isSameInstance) {
-    updateUpstream(aNow, *known, record);
+  Upstream* const instance = findInstance(aChange.m_key.m_name, record, known);
+  if (known != nullptr && known != instance) {
+    // An entry of a service that no configuration names was written by another writer. It replaces
+    // the entry of the upstream, but does not show that the upstream has restarted.
+    if (findOrAddService(record.m_service).isNamed()) {
+      setUnregistered(aNow, *known, RegistrationState::Ended, "restarted");
+    } else if (known->m_registration == RegistrationState::Registered) {
+      setUnregistered(aNow, *known, RegistrationState::Missing, "entry-replaced");
+    }
+  }
+  if (instance != nullptr) {
+    m_upstreamByName[instance->m_name] = instance;
+    updateUpstream(aNow, *instance, record);
     return;
   }
-  if (known != nullptr) {
-    setUnregistered(aNow, *known, RegistrationState::Ended);
+  addUpstream(aNow, aChange);
+}
+
+Upstream*
+ServiceDirectory::findInstance(const std::string& aName,
+                               const UpstreamRecord& aRecord,
+                               Upstream* aLatest) const
+{
+  const auto isInstance = [&](const Upstream* aUpstream) {
+    return aUpstream != nullptr && aUpstream->m_name == aName &&
+           aUpstream->m_record.m_identity == aRecord.m_identity &&
+           aUpstream->m_record.m_startedAtMs == aRecord.m_startedAtMs &&
+           aUpstream->m_record.m_service == aRecord.m_service;
+  };
+  if (isInstance(aLatest)) {
+    return aLatest;
   }
-  addUpstream(aNow, aChange.m_key.m_name, record);
+  Upstream* const holder = findUpstream(makeToken(aRecord.m_identity, aRecord.m_startedAtMs));
+  return isInstance(holder) ? holder : nullptr;
 }
 
 bool
@@ -206,7 +225,7 @@
   if (aRecord.m_startedAtMs < aKnown.m_record.m_startedAtMs) {
     // The restored store lost the entry of the current process instance.
     if (aKnown.m_registration == RegistrationState::Registered) {
-      setUnregistered(aNow, aKnown, RegistrationState::Lapsed);
+      setUnregistered(aNow, aKnown, RegistrationState::Lapsed, "store-restored");
     }
     return true;
   }
@@ -272,30 +291,24 @@
 }
 
 void
-ServiceDirectory::addUpstream(TimePoint aNow,
-                              const std::string& aName,
-                              const UpstreamRecord& aRecord)
+ServiceDirectory::addUpstream(TimePoint aNow, const Change& aChange)
 {
+  const auto& record = std::get<UpstreamRecord>(*aChange.m_record);
   auto upstream = std::make_unique<Upstream>();
-  upstream->m_name = aName;
+  upstream->m_name = aChange.m_key.m_name;
+  upstream->m_lastSignOfLifeAt = aNow;
+  upstream->m_renewedRevision = aChange.m_isRestored ? registry::Revision{} : aChange.m_revision;
   if (!m_mechanisms.isEnabled(Mechanism::AvoidanceBackoff)) {
     upstream->m_health = PassiveHealth(kInitialAvoidanceTime);
   }
-  upstream->m_token = makeToken(aRecord.m_identity, aRecord.m_startedAtMs);
-  upstream->m_dataCentre = &findOrAddDataCentre(aRecord.m_dataCentre);
-  const uint64_t address = addressKey(aRecord.m_address, aRecord.m_port);
-  Upstream*& addressOwner = m_upstreamByAddress[address];
-  if (addressOwner != nullptr && addressOwner->m_record.m_startedAtMs <= aRecord.m_startedAtMs &&
-      addressOwner->m_registration != RegistrationState::Ended) {
-    setUnregistered(aNow, *addressOwner, RegistrationState::Ended);
-  }
-  addressOwner = upstream.get();
-  m_upstreamByName[aName] = upstream.get();
-  Service& service = findOrAddService(aRecord.m_service);
+  upstream->m_token = makeToken(record.m_identity, record.m_startedAtMs);
+  upstream->m_dataCentre = &findOrAddDataCentre(record.m_dataCentre);
+  m_upstreamByName[upstream->m_name] = upstream.get();
+  Service& service = findOrAddService(record.m_service);
   service.m_upstreams.push_back(upstream.get());
   service.m_areOpenUpstreamsStale = true;
   upstream->m_service = &service;
-  updateUpstream(aNow, *upstream, aRecord);
+  updateUpstream(aNow, *upstream, record);
   indexToken(*upstream);
   m_upstreams.push_back(std::move(upstream));
 }
@@ -309,9 +322,14 @@
   const bool isBack = aUpstream.m_registration != RegistrationState::Registered;
   const bool isDraining = aRecord.m_state == UpstreamState::Draining &&
                           aUpstream.m_record.m_state != UpstreamState::Draining;
+  if (addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port) !=
+      addressKey(aRecord.m_address, aRecord.m_port)) {
+    releaseAddress(aUpstream);
+  }
   aUpstream.m_record = aRecord;
   aUpstream.m_dataCentre = &findOrAddDataCentre(aRecord.m_dataCentre);
   aUpstream.m_registration = RegistrationState::Registered;
+  claimAddress(aNow, aUpstream);
   const auto out = m_dataCentreOut.find(aRecord.m_dataCentre);
   aUpstream.m_isDataCentreOut = out != m_dataCentreOut.end() && out->second;
   if (wasOpen != aUpstream.acceptsNewFlows() || formerDataCentre != aUpstream.m_dataCentre) {
@@ -353,9 +371,12 @@
     return;
   }
   // All hosts must resolve a collision in the same way: the upstream with the smaller identity
-  // keeps the token.
+  // keeps the token. Of two entries with one identity, one is a copy by another writer.
+  const bool isCopyKnown = entry->m_record.m_identity == aUpstream.m_record.m_identity &&
+                           entry->m_hasAddressConflict && !aUpstream.m_hasAddressConflict;
   Upstream* const first =
-    entry->m_record.m_identity <= aUpstream.m_record.m_identity ? entry : &aUpstream;
+    entry->m_record.m_identity <= aUpstream.m_record.m_identity && !isCopyKnown ? entry
+                                                                                : &aUpstream;
   Upstream* const second = first == entry ? &aUpstream : entry;
   first->m_hasTokenConflict = false;
   second->m_hasTokenConflict = true;
@@ -366,7 +387,10 @@
 }
 
 void
-ServiceDirectory::setUnregistered(TimePoint aNow, Upstream& aUpstream, RegistrationState aState)
+ServiceDirectory::setUnregistered(TimePoint aNow,
+                                  Upstream& aUpstream,
+                                  RegistrationState aState,
+                                  const std::string& aReason)
 {
   aUpstream.m_registration = aState;
   aUpstream.m_service->m_areOpenUpstreamsStale = true;
@@ -374,7 +398,7 @@
   const EventId event = aState == RegistrationState::Lapsed    ? EventId::UpstreamLapsed
                         : aState == RegistrationState::Missing ? EventId::UpstreamMissing
                                                                : EventId::UpstreamEnded;
-  addUpstreamEvent(event, aUpstream);
+  addUpstreamEvent(event, aUpstream, " reason=" + aReason);
 }
 
 void
@@ -387,7 +411,7 @@
   for (const auto& upstream : m_upstreams) {
     const Millis absent = aNow - upstream->m_unregisteredSince;
     if (upstream->m_registration == RegistrationState::Lapsed && absent >= kLapseGracePeriod) {
-      setUnregistered(aNow, *upstream, RegistrationState::Missing);
+      setUnregistered(aNow, *upstream, RegistrationState::Missing, "grace-over");
     } else if (upstream->m_registration >= RegistrationState::Missing &&
                absent >= kTokenRetention) {
       expired.push_back(upstream.get());
@@ -396,6 +420,7 @@
   for (Upstream* upstream : expired) {
     eraseUpstream(*upstream);
   }
+  resolveAddressClaims(aNow);
   for (auto& [name, service] : m_services) {
     double localUpstreams = 0;
     service->m_avoidedLocalUpstreams = 0;
@@ -424,8 +449,7 @@
   };
   eraseIfMapped(m_upstreamByToken, aUpstream.m_token.m_value);
   eraseIfMapped(m_upstreamByName, aUpstream.m_name);
-  eraseIfMapped(m_upstreamByAddress,
-                addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port));
+  releaseAddress(aUpstream);
   std::erase(aUpstream.m_service->m_upstreams, &aUpstream);
   aUpstream.m_service->m_areOpenUpstreamsStale = true;
   std::erase_if(m_upstreams,
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -37,6 +37,13 @@
 /// Time for which the token of an upstream that is gone is kept. Flows older than this may be
 /// dropped.
 inline constexpr Millis kTokenRetention{ 60'000 };
+/// Time without a sign of life after which an upstream counts as silent although the registry still
+/// holds its entry. Heartbeats are 1.2 s apart, and an address is assigned again 2 s after its
+/// upstream has ended at the earliest.
+inline constexpr Millis kSilenceTimeout{ 2000 };
+/// Time without a renewal of any entry after which the registry, rather than an upstream, is taken
+/// to be silent.
+inline constexpr Millis kMaxRenewalGap{ 1200 };
 /// Maximum delay until an upstream that turned cold reports it with its next heartbeat; heartbeats
 /// are 1.2 s apart.
 inline constexpr Millis kColdReportDelay{ 1300 };
@@ -75,6 +82,16 @@
   RegistrationState m_registration{ RegistrationState::Registered };
   /// Time of the last change to a state other than Registered.
   TimePoint m_unregisteredSince;
+  /// Revision of the latest renewal of the entry; unset if the entry came with a restored store and
+  /// was not renewed since.
+  registry::Revision m_renewedRevision{};
+  /// Whether the entry was renewed since this host first saw it.
+  bool m_isRenewed{};
+  /// Time of the latest renewal of the entry, or of the latest response to a caller.
+  TimePoint m_lastSignOfLifeAt;
+  /// Another upstream holds the address of this one, so this one gets no flows; see
+  /// ServiceDirectory::resolveAddressClaims.
+  bool m_hasAddressConflict{};
   /// End of the cold start of the upstream.
   TimePoint m_coldUntil;
   PassiveHealth m_health;
@@ -104,7 +121,7 @@
   {
     return m_registration <= RegistrationState::Lapsed &&
            m_record.m_state == registry::UpstreamState::Ready && !m_isDataCentreOut &&
-           !m_hasTokenConflict;
+           !m_hasTokenConflict && !m_hasAddressConflict;
   }
   /// Whether new flows may go there without limit, and nothing that this host observed or was told
   /// speaks against it.
@@ -129,6 +146,8 @@
   /// The identifier in load reports.
   ServiceId m_id;
   registry::ServiceRecord m_record;
+  /// The configuration lists the service.
+  bool m_isConfigured{};
   /// The routes that send flows to the service with a weight above 0, ordered by identifier.
   std::vector<overload::RouteTerms> m_routes;
   /// Overload control applies: the routes differ in priority, and the mechanism is enabled.
@@ -155,6 +174,9 @@
   double m_recentLocalUpstreams{};
   /// Placement by the load of the fleet; see UpstreamSelector::setOccupancy.
   RemotePlacement m_remotePlacement;
+
+  /// Whether the configuration names the service. Entries of other services name no upstreams.
+  [[nodiscard]] bool isNamed() const { return m_isConfigured || !m_routes.empty(); }
 };
 
 struct Route
@@ -188,6 +210,17 @@
   void setRegistrationLogging(bool aIsLogged) { m_logsRegistrations = aIsLogged; }
   /// Applies changes of the registry.
   void apply(TimePoint aNow, std::span<const registry::Change> aChanges);
+  /// Records that entries of upstreams were written again. Must be called after the changes of the
+  /// same update were applied.
+  void applyRenewals(TimePoint aNow, std::span<const registry::Renewal> aRenewals);
+  /// The registry was disturbed: entries that are not renewed until kSilenceTimeout from now say
+  /// nothing about their upstreams.
+  void restartSilence(TimePoint aNow) { m_silenceSince = aNow; }
+  /// The revisions of the registry start anew.
+  void resetRevisions();
+  /// Whether the upstream has given no sign of life for kSilenceTimeout while other entries were
+  /// renewed.
+  [[nodiscard]] bool isSilent(const Upstream& aUpstream) const;
   /// Ends grace periods and hold times, and erases upstreams whose token retention has ended.
   void tick(TimePoint aNow);
 
@@ -234,9 +267,26 @@
                           const registry::UpstreamRecord& aRecord);
   /// Applies what has been held back for long enough after the store was restored.
   void releaseHeldRecords(TimePoint aNow);
-  void addUpstream(TimePoint aNow, const std::string& aName, const registry::UpstreamRecord&);
+  void addUpstream(TimePoint aNow, const registry::Change& aChange);
+  /// Returns the known upstream of a process instance under its name, or null. `aLatest` is the
+  /// latest process instance under the name, or null.
+  [[nodiscard]] Upstream* findInstance(const std::string& aName,
+                                       const registry::UpstreamRecord& aRecord,
+                                       Upstream* aLatest) const;
+  /// Makes an upstream the holder of its address, or records its claim if another one holds it.
+  void claimAddress(TimePoint aNow, Upstream& aUpstream);
+  /// Whether the entry of an upstream shows that the holder of its address has ended.
+  [[nodiscard]] bool displaces(const Upstream& aClaimant, const Upstream& aHolder) const;
+  /// Gives addresses to upstreams with a claim whose holders have ended.
+  void resolveAddressClaims(TimePoint aNow);
+  /// Gives up the address of an upstream, or its claim to it.
+  void releaseAddress(Upstream& aUpstream);
+  void setAddressConflict(Upstream& aUpstream, bool aHasConflict);
   void updateUpstream(TimePoint aNow, Upstream& aUpstream, const registry::UpstreamRecord& aRecord);
-  void setUnregistered(TimePoint aNow, Upstream& aUpstream, RegistrationState aState);
+  void setUnregistered(TimePoint aNow,
+                       Upstream& aUpstream,
+                       RegistrationState aState,
+                       const std::string& aReason);
   DataCentre& findOrAddDataCentre(const std::string& aName);
   Service& findOrAddService(const std::string& aName);
   /// Adds a route to the terms of the services that it uses, or removes it from them.
@@ -260,7 +310,14 @@
   absl::flat_hash_map<uint32_t, Upstream*> m_upstreamByToken;
   /// The latest process instance under each name.
   absl::flat_hash_map<std::string, Upstream*> m_upstreamByName;
+  /// The upstream that holds each address.
   absl::flat_hash_map<uint64_t, Upstream*> m_upstreamByAddress;
+  /// The upstreams with m_hasAddressConflict.
+  std::vector<Upstream*> m_addressClaimants;
+  /// Time of the latest renewal of any entry; the epoch before the first one.
+  TimePoint m_lastRenewalAt;
+  /// Silence of an entry counts from here at the earliest.
+  TimePoint m_silenceSince;
   /// Whether each data centre with an order so far is out of service.
   absl::flat_hash_map<std::string, bool> m_dataCentreOut;
   /// Data centres whose order was lost by a restored store, with the time at which they return to
@@ -279,6 +336,13 @@
 [[nodiscard]] overload::DataCentreId
 makeDataCentreId(std::string_view aName);
 
+/// Returns the key of an address in the maps of a directory.
+[[nodiscard]] inline uint64_t
+addressKey(Ipv4 aAddress, uint16_t aPort)
+{
+  return uint64_t{ aAddress.m_value } << 16 | aPort;
+}
+
 /// Returns the token of one process instance of an upstream.
 [[nodiscard]] Token
 makeToken(uint64_t aIdentity, int64_t aStartedAtMs);
--- a/lib/steering/SteeringFixture.h
+++ b/lib/steering/SteeringFixture.h
@@ -65,6 +65,24 @@
             aRecord });
   }
 
+  /// An entry under a name of its own.
+  void addEntry(const std::string& aName, const registry::UpstreamRecord& aRecord)
+  {
+    apply({ { RecordKind::Upstream, aName }, nextRevision(), aRecord });
+  }
+
+  /// The entry of an upstream is written again without a change.
+  void renewEntry(const std::string& aName)
+  {
+    const registry::Renewal renewal{ aName, nextRevision() };
+    m_directory.applyRenewals(m_now, { &renewal, 1 });
+  }
+
+  void addService(const std::string& aName)
+  {
+    apply({ { RecordKind::Service, aName }, nextRevision(), registry::ServiceRecord{} });
+  }
+
   void removeUpstream(uint64_t aIdentity, bool aMayReturn = false)
   {
     apply({ { RecordKind::Upstream, "i-" + std::to_string(aIdentity) },
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -149,6 +149,7 @@
 void
 TokenSteering::recordResponse(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream)
 {
+  aUpstream.m_lastSignOfLifeAt = aNow;
   if (aUpstream.m_health.onResponse(aNow)) {
     recordEvent(
       aNow, aPacket, { .m_event = EventId::UpstreamAnswers, .m_token = aUpstream.m_token });
