[steering] Evidence of failure has an age

Five seconds later, callers that had been idle sent a request on their open flows and were reset at once, though the upstreams served and were reached.

Cause: PassiveHealth kept evidence until a response of the upstream passed through the host. After the cut, new flows went to upstreams nearby, so nothing could clear it.

Change: evidence is void kEvidenceLifetime (3 s) after the last of it, and new evidence does not add to void evidence. It holds on while the upstream has given no sign of life since and its entry is gone, or silent while others are renewed, so an upstream that has died is left as before. A silence of the store keeps nothing alive.

Same cause on related paths: the verdict on a whole data centre (DataCentreReachability, which can make a host withdraw), the reporters that PassiveHealth remembers, and the doubling of the avoidance. Read without a finding: LatencyOutlierDetector (decays), RefusedFlowDetector (bounded by its timeout), WithdrawalPolicy, FleetLoad and AdmissionController (ages of reports), membership leases.

--- a/lib/edge/Diagnostics.cpp
+++ b/lib/edge/Diagnostics.cpp
@@ -101,6 +101,7 @@
            { "draining", aUpstream.m_record.m_state == registry::UpstreamState::Draining },
            { "cold", aUpstream.isCold(aNow) },
            { "data_centre_out", aUpstream.m_isDataCentreOut },
+           { "address_conflict", aUpstream.m_hasAddressConflict },
            { "avoided", aUpstream.m_health.isAvoided(aNow) },
            { "evidence_of_silence", aUpstream.m_health.evidence() },
            { "slow", aUpstream.m_outlierDetector.isSlow(aNow) },
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -51,6 +51,17 @@
          kSilenceTimeout;
 }
 
+bool
+ServiceDirectory::isEvidenceValid(TimePoint aNow, const Upstream& aUpstream) const
+{
+  const TimePoint lastEvidenceAt = aUpstream.m_health.lastEvidenceAt();
+  if (aNow - lastEvidenceAt <= kEvidenceLifetime) {
+    return true;
+  }
+  const bool isGone = aUpstream.m_registration >= RegistrationState::Missing;
+  return lastEvidenceAt >= aUpstream.m_lastSignOfLifeAt && (isGone || isSilent(aUpstream));
+}
+
 bool
 ServiceDirectory::displaces(const Upstream& aClaimant, const Upstream& aHolder) const
 {
--- a/lib/steering/DataCentreReachability.h
+++ b/lib/steering/DataCentreReachability.h
@@ -21,6 +21,9 @@
 /// Callers on established flows continue to retransmit, and their packets show when it is reachable
 /// again.
 inline constexpr Millis kUnreachableAvoidanceTime{ 1000 };
+/// Time after the last retransmission from which on earlier ones say nothing: the data centre may
+/// have become reachable while no caller sent packets there.
+inline constexpr Millis kUnreachableLifetime{ 3000 };
 /// Interval between new flows that try an unreachable data centre once the avoidance has ended.
 inline constexpr Millis kDataCentreTrialInterval{ 300 };
 
@@ -31,11 +34,15 @@
   /// whether the data centre becomes unreachable with it.
   bool onRetransmission(TimePoint aNow)
   {
+    const bool wasUnreachable = isUnreachable(aNow);
+    if (aNow - m_lastRetransmissionAt > kUnreachableLifetime) {
+      m_retransmissions = 0;
+    }
     if (m_retransmissions == 0) {
       m_firstRetransmissionAt = aNow;
     }
+    m_lastRetransmissionAt = aNow;
     ++m_retransmissions;
-    const bool wasUnreachable = m_isUnreachable;
     m_isUnreachable = m_retransmissions >= kUnreachableRetransmissions &&
                       aNow - m_firstRetransmissionAt >= kMinUnreachableSpan;
     if (m_isUnreachable) {
@@ -67,6 +74,11 @@
   [[nodiscard]] bool isAvoided(TimePoint aNow) const { return aNow < m_avoidedUntil; }
   /// Whether the data centre became unreachable and none of its upstreams has answered since.
   [[nodiscard]] bool isUnreachable() const { return m_isUnreachable; }
+  /// The same, unless nothing has shown it for kUnreachableLifetime.
+  [[nodiscard]] bool isUnreachable(TimePoint aNow) const
+  {
+    return m_isUnreachable && aNow - m_lastRetransmissionAt <= kUnreachableLifetime;
+  }
 
 private:
   /// Retransmissions since the last response.
@@ -74,6 +86,7 @@
   bool m_isUnreachable{};
   /// Valid while m_retransmissions is not 0.
   TimePoint m_firstRetransmissionAt;
+  TimePoint m_lastRetransmissionAt;
   TimePoint m_avoidedUntil;
 };
 
--- a/lib/steering/DataCentreReachabilityTest.cpp
+++ b/lib/steering/DataCentreReachabilityTest.cpp
@@ -137,6 +137,29 @@
   CHECK_FALSE(reachability.isAvoided(fixture.m_now));
 }
 
+TEST_CASE("a host does not take a data centre for unreachable for what it saw before a pause")
+{
+  // Guards against the fault of review case 3 for whole data centres: after a cut, callers used
+  // upstreams nearby, and nothing was sent that could show that the cut had ended.
+  Fixture fixture;
+  fixture.addUpstream(Fixture::upstreamRecord(101, "far"));
+  DataCentreReachability& reachability =
+    fixture.m_directory.dataCentres().at("far")->m_reachability;
+  for (uint32_t repeat = 0; repeat < kUnreachableRetransmissions; ++repeat) {
+    reachability.onRetransmission(fixture.m_now);
+    fixture.advance(Millis{ 100 });
+  }
+  CHECK(fixture.m_directory.isAnyDataCentreUnreachable());
+  fixture.advance(kUnreachableLifetime);
+  CHECK_FALSE(fixture.m_directory.isAnyDataCentreUnreachable());
+  // Earlier retransmissions do not add to later ones.
+  for (uint32_t repeat = 1; repeat < kUnreachableRetransmissions; ++repeat) {
+    CHECK_FALSE(reachability.onRetransmission(fixture.m_now));
+    fixture.advance(Millis{ 100 });
+  }
+  CHECK(reachability.onRetransmission(fixture.m_now));
+}
+
 TEST_CASE("retransmissions at the same instant do not make a data centre unreachable")
 {
   DataCentreReachability reachability;
--- a/lib/steering/FlowEvents.cpp
+++ b/lib/steering/FlowEvents.cpp
@@ -27,6 +27,9 @@
   if (aEvent.m_retransmissions > 0) {
     text += " repeats=" + std::to_string(aEvent.m_retransmissions);
   }
+  if (aEvent.m_evidenceAge) {
+    text += " evidence_age_ms=" + std::to_string(aEvent.m_evidenceAge->count());
+  }
   if (aEvent.m_duration != Millis{}) {
     text += " time_ms=" + std::to_string(aEvent.m_duration.count());
   }
--- a/lib/steering/FlowEvents.h
+++ b/lib/steering/FlowEvents.h
@@ -26,6 +26,8 @@
   uint32_t m_synRetransmissions{};
   /// Retransmissions since the last progress of the flow.
   uint32_t m_retransmissions{};
+  /// Time since the latest evidence that the upstream has failed, for resets.
+  std::optional<Millis> m_evidenceAge;
   /// Response time, or time that a request has been pending; 0 if the event has none.
   Millis m_duration{};
   /// Revision and age of the registry view that the decision was based on.
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -26,6 +26,9 @@
 /// Evidence, in nats, that the report of another host adds. Reports of three hosts reach
 /// kFailureEvidence.
 inline constexpr double kPeerReportEvidence = 3.0;
+/// Time after which evidence of an upstream that is still heard elsewhere is void. A cut between
+/// this host and the upstream may have ended since, and idle callers send nothing that shows it.
+inline constexpr Millis kEvidenceLifetime{ 3000 };
 /// Number of reporting hosts that are remembered per upstream.
 inline constexpr size_t kMaxReporters = 4;
 /// Minimum time between the first evidence and the failure decision, so that one lost batch of
@@ -92,9 +95,10 @@
   /// report of that host since the last response; reports may arrive more than once.
   bool onPeerReport(TimePoint aNow, HostId aReporter)
   {
+    const bool isCurrent = aNow - m_lastEvidenceAt <= kEvidenceLifetime;
     const auto known = m_reporters.begin() + m_reporterCount;
-    if (m_reporterCount == kMaxReporters ||
-        std::find(m_reporters.begin(), known, aReporter) != known) {
+    if (isCurrent && (m_reporterCount == kMaxReporters ||
+                      std::find(m_reporters.begin(), known, aReporter) != known)) {
       return false;
     }
     addEvidence(aNow, kPeerReportEvidence);
@@ -105,7 +109,8 @@
 
   /// Whether new flows should go to other upstreams.
   [[nodiscard]] bool isAvoided(TimePoint aNow) const { return aNow < m_avoidedUntil; }
-  /// Whether the evidence suffices to reset established flows.
+  /// Whether the evidence suffices to reset established flows, unless it is void by its age; see
+  /// ServiceDirectory::isEvidenceValid.
   [[nodiscard]] bool isFailed(TimePoint aNow) const
   {
     return m_evidence >= kFailureEvidence && aNow - m_firstEvidenceAt >= kMinFailureSpan;
@@ -113,25 +118,34 @@
   /// Whether the evidence suffices to keep new flows away.
   [[nodiscard]] bool isSuspect() const { return m_evidence >= kSuspectEvidence; }
   [[nodiscard]] double evidence() const { return m_evidence; }
+  /// Time of the latest evidence; the epoch if there is none.
+  [[nodiscard]] TimePoint lastEvidenceAt() const { return m_lastEvidenceAt; }
 
 private:
   void startAvoidance(TimePoint aNow)
   {
-    m_avoidanceTime = m_avoidanceTime == Millis{}
-                        ? kInitialAvoidanceTime
-                        : std::min(m_avoidanceTime * 2, m_maxAvoidanceTime);
+    const bool isRepeated =
+      m_avoidanceTime != Millis{} && aNow - m_avoidedUntil <= m_maxAvoidanceTime;
+    m_avoidanceTime =
+      isRepeated ? std::min(m_avoidanceTime * 2, m_maxAvoidanceTime) : kInitialAvoidanceTime;
     m_avoidedUntil = aNow + m_avoidanceTime;
   }
 
   void addEvidence(TimePoint aNow, double aEvidence)
   {
+    if (m_evidence > 0 && aNow - m_lastEvidenceAt > kEvidenceLifetime) {
+      m_evidence = 0;
+      m_reporterCount = 0;
+    }
     if (m_evidence == 0) {
       m_firstEvidenceAt = aNow;
     }
     m_evidence += aEvidence;
+    m_lastEvidenceAt = aNow;
   }
 
-  /// Evidence of failure since the last response, in nats.
+  /// Evidence of failure since the last response, in nats. No two additions are further apart than
+  /// kEvidenceLifetime.
   double m_evidence{};
   /// Hosts that reported missing responses since the last response; the first m_reporterCount
   /// entries are set.
@@ -139,6 +153,7 @@
   uint32_t m_reporterCount{};
   /// Valid while m_evidence is not 0.
   TimePoint m_firstEvidenceAt;
+  TimePoint m_lastEvidenceAt;
   Millis m_maxAvoidanceTime{ kMaxAvoidanceTime };
   /// Duration of the latest avoidance; 0 if there was none since the last response.
   Millis m_avoidanceTime{};
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -277,8 +277,8 @@
 bool
 ServiceDirectory::isAnyDataCentreUnreachable() const
 {
-  return std::ranges::any_of(m_dataCentres, [](const auto& aEntry) {
-    return !aEntry.second->m_isLocal && aEntry.second->m_reachability.isUnreachable();
+  return std::ranges::any_of(m_dataCentres, [this](const auto& aEntry) {
+    return !aEntry.second->m_isLocal && aEntry.second->m_reachability.isUnreachable(m_lastTick);
   });
 }
 
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -42,8 +42,8 @@
   std::vector<FlowPacket> resets;
   const bool resetsPending = m_directory.mechanisms().isEnabled(Mechanism::DeadUpstreamResets);
   for (const auto& upstream : m_directory.upstreams()) {
-    const bool hasFailed =
-      upstream->m_registration == RegistrationState::Ended || upstream->m_health.isFailed(aNow);
+    const bool hasFailed = upstream->m_registration == RegistrationState::Ended ||
+                           m_directory.hasFailed(aNow, *upstream);
     if (resetsPending && hasFailed && !upstream->m_areFlowsReset) {
       resetPendingRequests(aNow, *upstream, resets);
     }
@@ -112,6 +112,12 @@
   if (aFlow != nullptr) {
     event.m_retransmissions = aFlow->retransmissions();
   }
+  if (aEvent == EventId::FlowReset) {
+    const Upstream* const upstream = m_directory.findUpstream(aPacket.m_token);
+    if (upstream != nullptr && upstream->m_health.evidence() > 0) {
+      event.m_evidenceAge = aNow - upstream->m_health.lastEvidenceAt();
+    }
+  }
   recordEvent(aNow, aPacket, event);
   const bool isDropped = errorRow(aKind).m_response == ErrorResponse::Drop;
   return { .m_action = isDropped ? Action::Drop : Action::Reset, .m_error = aKind };
@@ -430,7 +436,8 @@
   // Packets without payload are forwarded: the upstream may be alive and only disconnected from the
   // store.
   const bool hasFailed =
-    aUpstream.m_registration == RegistrationState::Ended || aUpstream.m_health.isSuspect();
+    aUpstream.m_registration == RegistrationState::Ended ||
+    (aUpstream.m_health.isSuspect() && m_directory.isEvidenceValid(aNow, aUpstream));
   if (hasFailed && aPacket.m_length > 0) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamGone);
   }
@@ -450,7 +457,7 @@
   if (aObservation.m_evidence > 0) {
     recordRetransmission(aNow, aPacket, aUpstream, aObservation.m_evidence);
   }
-  const bool isFailed = aPacket.m_length > 0 && aUpstream.m_health.isFailed(aNow);
+  const bool isFailed = aPacket.m_length > 0 && m_directory.hasFailed(aNow, aUpstream);
   if (isFailed && isRetryable(aPacket.m_flow)) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamSilent);
   }
