[steering] A SYN from a port in use again opens a flow of its own

Cause: TokenSteering::handleSyn sent a copy of a SYN to the upstream of the flow that FlowTable held for its port, however old or closed, before it looked at the route or at the state of the upstream. Such copies left no trace before; they are counted now: tamarack_syn_copies_forwarded_total.

Change: a SYN belongs to the flow of its port only if that is open, had a packet in the last 5 s (or the process woke from a pause) and has sent no more than a flow of that age can have. Otherwise it is judged like any new flow. A copy no longer goes to an upstream that has ended.

The search for idle flows of ended upstreams leaves out flows idle for more than 60 s, whose ports may be in use again. Read without a finding: RefusedFlowDetector (compares token and idle time), overload::LoadMeter, and the native PacketPath, where a pin is used by a SYN only within kFlowReopenDelay of its last packet.

--- a/lib/edge/Diagnostics.cpp
+++ b/lib/edge/Diagnostics.cpp
@@ -194,6 +194,7 @@
   addMetric(text, "packets_forwarded_total", static_cast<double>(steering.m_forwarded));
   addMetric(text, "flows_opened_total", static_cast<double>(steering.m_flowsOpened));
   addMetric(text, "flows_opened_again_total", static_cast<double>(steering.m_flowsReopened));
+  addMetric(text, "syn_copies_forwarded_total", static_cast<double>(steering.m_synCopiesForwarded));
   addMetric(text, "packets_repeated_total", static_cast<double>(steering.m_retransmissions));
   for (const ErrorRow& row : errorTable()) {
     const auto index = static_cast<size_t>(row.m_kind);
--- a/lib/steering/FlowTable.h
+++ b/lib/steering/FlowTable.h
@@ -27,6 +27,16 @@
   return mixHash(addresses, ports);
 }
 
+/// Time since the last packet of a flow from which on a SYN with the same ports opens another flow.
+/// Callers send copies of a SYN within 600 ms.
+inline constexpr Millis kMaxSynDelay{ 5000 };
+/// Time since the last packet of a flow from which on any packet with the same ports belongs to
+/// another flow. Flows older than this may be dropped.
+inline constexpr Millis kMaxFlowIdleTime{ 60'000 };
+/// Greatest distance between the sequence numbers of two packets of one flow that reach a host in a
+/// row. A caller has up to 19,200 bytes in flight.
+inline constexpr uint32_t kMaxSequenceDistance = 76'800;
+
 /// The state of one flow; a free entry of the table if it has no token.
 class FlowState
 {
@@ -55,6 +65,22 @@
   }
   [[nodiscard]] bool isFree() const { return !m_token; }
 
+  /// Whether a SYN is one of those that opened this flow. Otherwise its caller uses the port again,
+  /// and the state is that of a former flow. After a pause of the process, `aIsDelayed` says that
+  /// the SYN may have waited for any time.
+  [[nodiscard]] bool isOpenedBy(TimePoint aNow, uint32_t aSequence, bool aIsDelayed) const
+  {
+    const bool isYoung = aIsDelayed || idleTime(aNow) <= kMaxSynDelay;
+    const uint32_t sent = m_sequenceEnd - aSequence;
+    return isYoung && !isClosed() && sent <= (hasCompleteMap() ? kMaxSequenceDistance : 0);
+  }
+  /// Whether a packet other than a SYN continues this flow.
+  [[nodiscard]] bool isContinuedBy(TimePoint aNow, uint32_t aSequence) const
+  {
+    const uint32_t distance = aSequence - m_sequenceEnd + kMaxSequenceDistance;
+    return idleTime(aNow) <= kMaxFlowIdleTime && distance <= 2 * kMaxSequenceDistance;
+  }
+
   void touch(TimePoint aNow) { m_lastAt = truncatedTime(aNow); }
   /// Returns the time since the last packet.
   [[nodiscard]] Millis idleTime(TimePoint aNow) const
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -226,7 +226,12 @@
                   isViewCurrent(aNow) ? ErrorKind::NoSuchRoute : ErrorKind::RouteUnconfirmed,
                   EventId::FlowRefused);
   }
-  FlowState* const known = m_flowTable.find(aPacket.m_flow);
+  FlowState* const stored = m_flowTable.find(aPacket.m_flow);
+  // The state of a former flow from the same port says nothing about this one.
+  FlowState* const known =
+    stored != nullptr && stored->isOpenedBy(aNow, aPacket.m_sequence, m_isProcessingBacklog)
+      ? stored
+      : nullptr;
   const bool isRetransmission = aPacket.m_synRetransmissions > 0;
   const bool arrivedInBurst =
     known != nullptr &&
@@ -235,16 +240,19 @@
   if (known != nullptr && isRetransmission) {
     previousToken = known->m_token;
     Upstream* const previous = m_directory.findUpstream(previousToken);
-    if (previous != nullptr && (known->hasCompleteMap() || arrivedInBurst)) {
+    const bool isPreviousUsable =
+      previous != nullptr && previous->m_registration != RegistrationState::Ended;
+    if (isPreviousUsable && (known->hasCompleteMap() || arrivedInBurst)) {
       // The flow is established or its handshake is under way. A second upstream would answer as
       // well, and the caller would adopt the token that arrives last, whose upstream need not hold
       // the connection.
       if (!known->hasCompleteMap()) {
         known->addRetransmission();
       }
+      ++m_counters.m_synCopiesForwarded;
       return forward(*previous);
     }
-    if (previous != nullptr) {
+    if (isPreviousUsable) {
       const double surprisal = m_synRetransmissionProbability.surprisal();
       m_synRetransmissionProbability.add(true);
       recordRetransmission(aNow, aPacket, *previous, surprisal);
@@ -265,7 +273,7 @@
     const overload::Admission admission =
       admit(aNow, aPacket, *route, *service, request.m_flowHash);
     if (admission != overload::Admission::Admit) {
-      return refuse(aNow, aPacket, admission, known);
+      return refuse(aNow, aPacket, admission, stored);
     }
   }
   const SelectionResult selection = m_upstreamSelector.select(aNow, *service, request);
@@ -321,7 +329,9 @@
                                Upstream& aUpstream)
 {
   const uint32_t end = aPacket.m_sequence + aPacket.m_length;
-  const bool isKnown = aFlow.hasCompleteMap() && aFlow.m_token == aPacket.m_token;
+  const bool isContinued =
+    aFlow.m_token == aPacket.m_token && aFlow.isContinuedBy(aNow, aPacket.m_sequence);
+  const bool isKnown = aFlow.hasCompleteMap() && isContinued;
   const bool arrivedInBurst =
     m_isProcessingBacklog || aFlow.idleTime(aNow) < kMinRetransmissionInterval;
   FlowObservation observation;
@@ -330,7 +340,7 @@
   } else {
     // Either another host forwarded the SYN, or this is the first packet after the handshake. If
     // the token matches the selected upstream, the packet shows that the upstream answered.
-    const bool endsHandshake = aFlow.m_token == aPacket.m_token;
+    const bool endsHandshake = isContinued;
     observation.m_isResponseAcknowledged = endsHandshake;
     m_synRetransmissionProbability.add(false);
     if (endsHandshake) {
@@ -350,7 +360,11 @@
     const bool isAlreadyRecorded = aFlow.retransmissions() > 1;
     aFlow.clearRetransmissions();
     observation.m_isResponseAcknowledged = true;
-    if (const std::optional<Millis> time = aFlow.pendingTime(aNow)) {
+    const std::optional<Millis> time = aFlow.pendingTime(aNow);
+    if (time && *time > kMaxPendingRequestAge) {
+      // The response was acknowledged through another host.
+      aFlow.endRequest();
+    } else if (time) {
       if (!isAlreadyRecorded && !m_isProcessingBacklog) {
         recordResponseTime(aNow, aPacket, aUpstream, *time);
       }
@@ -372,6 +386,10 @@
   }
   if (isAfter(end, aFlow.m_sequenceEnd)) {
     aFlow.m_sequenceEnd = end;
+    if (aFlow.pendingTime(aNow).value_or(Millis{}) > kMaxPendingRequestAge) {
+      // That request ended through another host.
+      aFlow.endRequest();
+    }
     if (aFlow.beginRequest(aNow)) {
       aUpstream.m_recentRequests.add(aNow);
       if (aFlow.hasSentRequest()) {
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -66,6 +66,8 @@
   uint64_t m_flowsOpened{};
   /// Retransmitted SYNs that were assigned an upstream anew.
   uint64_t m_flowsReopened{};
+  /// Retransmitted SYNs that were forwarded to the upstream that has their flow.
+  uint64_t m_synCopiesForwarded{};
   uint64_t m_forwarded{};
   /// Retransmitted packets with payload.
   uint64_t m_retransmissions{};
--- a/lib/steering/TokenSteeringOverload.cpp
+++ b/lib/steering/TokenSteeringOverload.cpp
@@ -117,7 +117,9 @@
        ++m_idleScanPosition) {
     FlowState& flow = entries[index];
     index = index + 1 == entries.size() ? 0 : index + 1;
-    if (!flow.hasCompleteMap() || flow.isClosed() || flow.pendingTime(aNow)) {
+    if (!flow.hasCompleteMap() || flow.isClosed() || flow.pendingTime(aNow) ||
+        flow.idleTime(aNow) > kMaxFlowIdleTime) {
+      // The reset of a flow that is over could reach a later flow from the same port.
       continue;
     }
     const Upstream* const upstream = m_directory.findUpstream(flow.m_token);
