[steering] Unanswered SYNs say nothing of open flows

Within half a second hosts reset open flows of callers who had been there before, while their requests were at work.

Cause: PassiveHealth added the evidence of SYNs and of requests into one sum, hosts reported either to others as Unresponsive (3 nats each), and the sum reset pending requests. The dump shows the two kinds apart now (evidence_of_unanswered_syns).

Change: evidence of SYNs has its own sum and age. It bears on open flows only once the entry of the upstream is gone, or silent while others are renewed. When requests alone reach suspicion, other hosts are told even if SYNs had begun the avoidance already.

Read: the native UpstreamTracker, whose verdicts only concern new flows.

--- a/lib/edge/Diagnostics.cpp
+++ b/lib/edge/Diagnostics.cpp
@@ -104,6 +104,7 @@
            { "address_conflict", aUpstream.m_hasAddressConflict },
            { "avoided", aUpstream.m_health.isAvoided(aNow) },
            { "evidence_of_silence", aUpstream.m_health.evidence() },
+           { "evidence_of_unanswered_syns", aUpstream.m_health.synEvidence() },
            { "slow", aUpstream.m_outlierDetector.isSlow(aNow) },
            { "evidence_of_slowness", aUpstream.m_outlierDetector.evidence(aNow) },
            { "requests", aUpstream.m_recentRequests.value(aNow) } };
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -16,11 +16,13 @@
 
 /// The observation of an upstream's health that a flow event implies, if any.
 std::optional<dissemination::HealthSignal>
-observedSign(EventId aEvent)
+observedSign(const steering::FlowEvent& aEvent)
 {
-  switch (aEvent) {
+  switch (aEvent.m_event) {
     case EventId::UpstreamAvoided:
-      return dissemination::HealthSignal::Unresponsive;
+      // Unanswered SYNs show that the upstream takes no new flows, not that it has failed.
+      return aEvent.m_synRetransmissions > 0 ? dissemination::HealthSignal::RefusesFlows
+                                             : dissemination::HealthSignal::Unresponsive;
     case EventId::UpstreamAnswers:
       return dissemination::HealthSignal::Recovered;
     case EventId::AnswerSlow:
@@ -253,7 +255,7 @@
   const auto events = m_steering.events().events();
   for (; m_scannedFlowEvents < events.size(); ++m_scannedFlowEvents) {
     const steering::FlowEvent& event = events[m_scannedFlowEvents];
-    const std::optional<dissemination::HealthSignal> sign = observedSign(event.m_event);
+    const std::optional<dissemination::HealthSignal> sign = observedSign(event);
     if (!sign || m_pendingHealthReports.size() >= kMaxPendingHealthReports) {
       continue;
     }
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -51,15 +51,29 @@
          kSilenceTimeout;
 }
 
+double
+ServiceDirectory::flowEvidence(TimePoint aNow, const Upstream& aUpstream) const
+{
+  const PassiveHealth& health = aUpstream.m_health;
+  const bool isUnheard =
+    aUpstream.m_registration >= RegistrationState::Missing || isSilent(aUpstream);
+  const auto isValid = [&](TimePoint aLastAt) {
+    return aNow - aLastAt <= kEvidenceLifetime ||
+           (isUnheard && aLastAt >= aUpstream.m_lastSignOfLifeAt);
+  };
+  return (isValid(health.lastEvidenceAt()) ? health.evidence() : 0) +
+         (isUnheard && isValid(health.lastSynEvidenceAt()) ? health.synEvidence() : 0);
+}
+
 bool
-ServiceDirectory::isEvidenceValid(TimePoint aNow, const Upstream& aUpstream) const
+ServiceDirectory::hasFailed(TimePoint aNow, const Upstream& aUpstream) const
 {
-  const TimePoint lastEvidenceAt = aUpstream.m_health.lastEvidenceAt();
-  if (aNow - lastEvidenceAt <= kEvidenceLifetime) {
-    return true;
+  const PassiveHealth& health = aUpstream.m_health;
+  if (health.evidence() + health.synEvidence() < kFailureEvidence) {
+    return false;
   }
-  const bool isGone = aUpstream.m_registration >= RegistrationState::Missing;
-  return lastEvidenceAt >= aUpstream.m_lastSignOfLifeAt && (isGone || isSilent(aUpstream));
+  const bool isLasting = aNow - health.firstEvidenceAt() >= kMinFailureSpan;
+  return isLasting && flowEvidence(aNow, aUpstream) >= kFailureEvidence;
 }
 
 bool
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -2,6 +2,10 @@
 // acknowledged responses are evidence of health. Evidence is accumulated in nats, as in an accrual
 // failure detector. This detects upstreams that crash or are disconnected before the store reports
 // it, without health probes, and also while links lose packets.
+//
+// Requests and SYNs are evidence of different things. An upstream that holds as many flows as it
+// can answers no SYN, but serves the flows that it holds, so unanswered SYNs alone are no reason to
+// give up established flows.
 #pragma once
 
 #include "base/Types.h"
@@ -48,17 +52,24 @@
   {
   }
 
-  /// Records that a caller of this host retransmitted a packet. `aSurprisal` is the negative
-  /// logarithm of the probability of that with a healthy upstream, in nats. Returns whether an
-  /// avoidance begins.
+  /// Records that a caller of this host retransmitted a packet of an established flow. `aSurprisal`
+  /// is the negative logarithm of the probability of that with a healthy upstream, in nats. Returns
+  /// whether other hosts should be told: an avoidance begins, or the evidence of established flows
+  /// reaches kSuspectEvidence.
   bool onRetransmission(TimePoint aNow, double aSurprisal)
   {
+    const bool wasReached = evidenceAt(aNow) >= kSuspectEvidence;
     addEvidence(aNow, aSurprisal);
-    if (isAvoided(aNow) || m_evidence < kSuspectEvidence) {
-      return false;
-    }
-    startAvoidance(aNow);
-    return true;
+    const bool isReached = !wasReached && m_evidence >= kSuspectEvidence;
+    return startAvoidanceIfSuspect(aNow) || isReached;
+  }
+
+  /// Records that a caller of this host retransmitted a SYN. Returns whether an avoidance begins.
+  bool onSynRetransmission(TimePoint aNow, double aSurprisal)
+  {
+    m_synEvidence = synEvidenceAt(aNow) + aSurprisal;
+    m_lastSynEvidenceAt = aNow;
+    return startAvoidanceIfSuspect(aNow);
   }
 
   /// Records that a caller of this or of another host was refused the connection. New flows then
@@ -110,18 +121,42 @@
   /// Whether new flows should go to other upstreams.
   [[nodiscard]] bool isAvoided(TimePoint aNow) const { return aNow < m_avoidedUntil; }
   /// Whether the evidence suffices to reset established flows, unless it is void by its age; see
-  /// ServiceDirectory::isEvidenceValid.
+  /// ServiceDirectory::hasFailed.
   [[nodiscard]] bool isFailed(TimePoint aNow) const
   {
     return m_evidence >= kFailureEvidence && aNow - m_firstEvidenceAt >= kMinFailureSpan;
   }
-  /// Whether the evidence suffices to keep new flows away.
-  [[nodiscard]] bool isSuspect() const { return m_evidence >= kSuspectEvidence; }
+  /// Whether the evidence, unless it is void by its age, suffices to keep new flows away.
+  [[nodiscard]] bool isSuspect() const { return m_evidence + m_synEvidence >= kSuspectEvidence; }
+  /// Evidence of established flows, and of SYNs, since the last response.
   [[nodiscard]] double evidence() const { return m_evidence; }
-  /// Time of the latest evidence; the epoch if there is none.
+  [[nodiscard]] double synEvidence() const { return m_synEvidence; }
+  /// Time of the first of the evidence of established flows.
+  [[nodiscard]] TimePoint firstEvidenceAt() const { return m_firstEvidenceAt; }
+  /// Times of the latest evidence of each kind; the epoch if there is none.
   [[nodiscard]] TimePoint lastEvidenceAt() const { return m_lastEvidenceAt; }
+  [[nodiscard]] TimePoint lastSynEvidenceAt() const { return m_lastSynEvidenceAt; }
+  /// The evidence of SYNs that is not older than kEvidenceLifetime.
+  [[nodiscard]] double synEvidenceAt(TimePoint aNow) const
+  {
+    return aNow - m_lastSynEvidenceAt <= kEvidenceLifetime ? m_synEvidence : 0;
+  }
 
 private:
+  [[nodiscard]] double evidenceAt(TimePoint aNow) const
+  {
+    return aNow - m_lastEvidenceAt <= kEvidenceLifetime ? m_evidence : 0;
+  }
+
+  bool startAvoidanceIfSuspect(TimePoint aNow)
+  {
+    if (isAvoided(aNow) || evidenceAt(aNow) + synEvidenceAt(aNow) < kSuspectEvidence) {
+      return false;
+    }
+    startAvoidance(aNow);
+    return true;
+  }
+
   void startAvoidance(TimePoint aNow)
   {
     const bool isRepeated =
@@ -133,20 +168,20 @@
 
   void addEvidence(TimePoint aNow, double aEvidence)
   {
-    if (m_evidence > 0 && aNow - m_lastEvidenceAt > kEvidenceLifetime) {
+    if (evidenceAt(aNow) == 0) {
       m_evidence = 0;
       m_reporterCount = 0;
-    }
-    if (m_evidence == 0) {
       m_firstEvidenceAt = aNow;
     }
     m_evidence += aEvidence;
     m_lastEvidenceAt = aNow;
   }
 
-  /// Evidence of failure since the last response, in nats. No two additions are further apart than
-  /// kEvidenceLifetime.
+  /// Evidence of failure since the last response, in nats, of established flows and of reports by
+  /// other hosts. No two additions are further apart than kEvidenceLifetime.
   double m_evidence{};
+  /// The same of SYNs.
+  double m_synEvidence{};
   /// Hosts that reported missing responses since the last response; the first m_reporterCount
   /// entries are set.
   std::array<HostId, kMaxReporters> m_reporters{};
@@ -154,6 +189,7 @@
   /// Valid while m_evidence is not 0.
   TimePoint m_firstEvidenceAt;
   TimePoint m_lastEvidenceAt;
+  TimePoint m_lastSynEvidenceAt;
   Millis m_maxAvoidanceTime{ kMaxAvoidanceTime };
   /// Duration of the latest avoidance; 0 if there was none since the last response.
   Millis m_avoidanceTime{};
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -221,14 +221,12 @@
   /// Whether the upstream has given no sign of life for kSilenceTimeout while other entries were
   /// renewed.
   [[nodiscard]] bool isSilent(const Upstream& aUpstream) const;
-  /// Whether the evidence of failure of an upstream still holds: it is recent, or the upstream has
-  /// given no sign of life since and its entry is gone or silent.
-  [[nodiscard]] bool isEvidenceValid(TimePoint aNow, const Upstream& aUpstream) const;
+  /// Returns the evidence of failure of an upstream that bears on its open flows. That of SYNs does
+  /// so once the entry of the upstream is gone or silent as well. Evidence is void by its age,
+  /// unless the upstream has given no sign of life since and its entry is gone or silent.
+  [[nodiscard]] double flowEvidence(TimePoint aNow, const Upstream& aUpstream) const;
   /// Whether open flows of the upstream should be given up for lack of responses.
-  [[nodiscard]] bool hasFailed(TimePoint aNow, const Upstream& aUpstream) const
-  {
-    return aUpstream.m_health.isFailed(aNow) && isEvidenceValid(aNow, aUpstream);
-  }
+  [[nodiscard]] bool hasFailed(TimePoint aNow, const Upstream& aUpstream) const;
   /// Ends grace periods and hold times, and erases upstreams whose token retention has ended.
   void tick(TimePoint aNow);
 
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -145,8 +145,12 @@
     recordEvent(
       aNow, aPacket, { .m_event = EventId::DataCentreLost, .m_token = aUpstream.m_token });
   }
-  if (m_directory.mechanisms().isEnabled(Mechanism::RetransmissionDetection) &&
-      aUpstream.m_health.onRetransmission(aNow, aSurprisal)) {
+  if (!m_directory.mechanisms().isEnabled(Mechanism::RetransmissionDetection)) {
+    return;
+  }
+  const bool isReported = aPacket.m_isSyn ? aUpstream.m_health.onSynRetransmission(aNow, aSurprisal)
+                                          : aUpstream.m_health.onRetransmission(aNow, aSurprisal);
+  if (isReported) {
     recordEvent(
       aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = aUpstream.m_token });
   }
@@ -453,9 +457,8 @@
 {
   // Packets without payload are forwarded: the upstream may be alive and only disconnected from the
   // store.
-  const bool hasFailed =
-    aUpstream.m_registration == RegistrationState::Ended ||
-    (aUpstream.m_health.isSuspect() && m_directory.isEvidenceValid(aNow, aUpstream));
+  const bool hasFailed = aUpstream.m_registration == RegistrationState::Ended ||
+                         m_directory.flowEvidence(aNow, aUpstream) >= kSuspectEvidence;
   if (hasFailed && aPacket.m_length > 0) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamGone);
   }
