[base] Entries nested deeply or with numbers beyond their types are left out

A port of 65616 in the records of another host was read as port 80. One odd entry made a host refuse whole differences of another host, and thereby stop following the list. An item of the store without a readable value made it refuse the whole answer. Numbers like 1e300 or 2^63 were converted without a check, or made the end of a warm-up overflow.

Cause: nlohmann::json parses MessagePack and copies documents recursively, and its conversions of numbers check nothing. The readers failed as a whole where one entry was odd.

Change: parseJson() and parseMessagePack() limit the nesting to 64 levels while they parse; toInteger() and toNonNegative() reject numbers that do not fit. RecordLimits.h bounds the fields of an entry, wherever it comes from. An odd entry is left out alone, and counts as a removal after which the upstream may return. The settings log at most 16 errors of a document.

--- a/lib/daemon/DaemonTest.cpp
+++ b/lib/daemon/DaemonTest.cpp
@@ -82,3 +82,22 @@
   CHECK_FALSE(parseTargets("[{}]").ok());
   CHECK_FALSE(parseReports("nonsense").ok());
 }
+
+TEST_CASE("health responses and messages of the probe with odd numbers or nesting are rejected")
+{
+  const std::string health = makeHealthResponse(2, "warm");
+  const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& value : { nested,
+                                    std::string("1e300"),
+                                    std::string("-1"),
+                                    std::string("4294967308"),
+                                    std::string("0.5") }) {
+    std::string text = health;
+    const size_t position = text.find("12");
+    REQUIRE(position != std::string::npos);
+    text.replace(position, 2, value);
+    CHECK_FALSE(parseHealthResponse(makeTarget(), text).m_answered);
+  }
+  CHECK_FALSE(parseTargets(nested).ok());
+  CHECK_FALSE(parseReports(nested).ok());
+}
--- a/lib/daemon/ProbeMessages.cpp
+++ b/lib/daemon/ProbeMessages.cpp
@@ -1,7 +1,8 @@
 // JSON serialization of probe targets and probe reports, and parsing of health responses.
 #include "daemon/ProbeMessages.h"
 
-#include <nlohmann/json.hpp>
+#include "base/BoundedText.h"
+#include "base/JsonReader.h"
 
 namespace tamarack::daemon {
 
@@ -12,16 +13,16 @@
 admission::UpstreamReport
 reportFromJson(const Json& aJson)
 {
-  return { .m_service = ServiceId{ aJson.at("service").get<uint32_t>() },
-           .m_upstream = UpstreamId{ aJson.at("upstream").get<uint32_t>() },
+  return { .m_service = ServiceId{ toInteger<uint32_t>(aJson.at("service")) },
+           .m_upstream = UpstreamId{ toInteger<uint32_t>(aJson.at("upstream")) },
            .m_answered = aJson.at("answered").get<bool>(),
            .m_identityMatches = aJson.at("identity_matches").get<bool>(),
            .m_claimsCold = aJson.at("claims_cold").get<bool>(),
            .m_sheds = aJson.at("sheds").get<bool>(),
            .m_draining = aJson.at("draining").get<bool>(),
-           .m_run = aJson.at("run").get<uint32_t>(),
-           .m_connections = aJson.at("connections").get<uint32_t>(),
-           .m_busySlots = aJson.at("busy_slots").get<uint32_t>() };
+           .m_run = toInteger<uint32_t>(aJson.at("run")),
+           .m_connections = toInteger<uint32_t>(aJson.at("connections")),
+           .m_busySlots = toInteger<uint32_t>(aJson.at("busy_slots")) };
 }
 
 } // namespace
@@ -45,20 +46,20 @@
 {
   std::vector<node::ProbeTarget> targets;
   try {
-    for (const Json& json : Json::parse(aText)) {
+    for (const Json& json : parseJson(aText)) {
       const auto address = parseIpv4(json.at("address").get<std::string>());
       if (!address) {
         return absl::InvalidArgumentError("probe target has an invalid IPv4 address");
       }
-      targets.push_back({ .m_service = ServiceId{ json.at("service").get<uint32_t>() },
-                          .m_upstream = UpstreamId{ json.at("upstream").get<uint32_t>() },
+      targets.push_back({ .m_service = ServiceId{ toInteger<uint32_t>(json.at("service")) },
+                          .m_upstream = UpstreamId{ toInteger<uint32_t>(json.at("upstream")) },
                           .m_address = *address,
                           .m_serviceName = json.at("service_name").get<std::string>(),
                           .m_upstreamName = json.at("upstream_name").get<std::string>() });
     }
-  } catch (const Json::exception& error) {
-    return absl::InvalidArgumentError(std::string("invalid list of probe targets: ") +
-                                      error.what());
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError("invalid list of probe targets: " +
+                                      boundedText(error.what()));
   }
   return targets;
 }
@@ -87,12 +88,12 @@
 {
   std::vector<admission::UpstreamReport> reports;
   try {
-    for (const Json& json : Json::parse(aText)) {
+    for (const Json& json : parseJson(aText)) {
       reports.push_back(reportFromJson(json));
     }
-  } catch (const Json::exception& error) {
-    return absl::InvalidArgumentError(std::string("invalid list of probe reports: ") +
-                                      error.what());
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError("invalid list of probe reports: " +
+                                      boundedText(error.what()));
   }
   return reports;
 }
@@ -103,10 +104,10 @@
   admission::UpstreamReport report{ .m_service = aTarget.m_service,
                                     .m_upstream = aTarget.m_upstream };
   try {
-    const Json json = Json::parse(aText);
+    const Json json = parseJson(aText);
     const auto service = json.at("service").get<std::string>();
     const auto upstream = json.at("upstream").get<std::string>();
-    const auto generation = json.at("generation").get<uint32_t>();
+    const auto generation = toInteger<uint32_t>(json.at("generation"));
     const auto state = json.at("state").get<std::string>();
     admission::UpstreamReport answered = report;
     answered.m_answered = true;
@@ -116,11 +117,11 @@
     answered.m_claimsCold = state == "cold";
     answered.m_draining = state == "draining";
     answered.m_sheds = json.at("sheds").get<bool>();
-    answered.m_run = json.at("run").get<uint32_t>();
-    answered.m_connections = json.at("connections").get<uint32_t>();
-    answered.m_busySlots = json.at("busy_slots").get<uint32_t>();
+    answered.m_run = toInteger<uint32_t>(json.at("run"));
+    answered.m_connections = toInteger<uint32_t>(json.at("connections"));
+    answered.m_busySlots = toInteger<uint32_t>(json.at("busy_slots"));
     return answered;
-  } catch (const Json::exception&) {
+  } catch (const std::exception&) {
     return report;
   }
 }
--- a/lib/dissemination/DisseminationTest.cpp
+++ b/lib/dissemination/DisseminationTest.cpp
@@ -231,3 +231,18 @@
     (void)decodeStatus(mutated);
   }
 }
+
+TEST_CASE("statuses that are nested deeply or state an impossible age are rejected")
+{
+  std::vector<uint8_t> nested(100'000, 0x91);
+  nested.push_back(0xc0);
+  CHECK_FALSE(decodeStatus(nested).ok());
+  for (const int64_t age : { std::numeric_limits<int64_t>::max(),
+                             std::numeric_limits<int64_t>::min(),
+                             int64_t{ -2 } }) {
+    CHECK_FALSE(decodeStatus(encodeStatus({ .m_sender = HostId{ 3 },
+                                            .m_dataCentre = "near",
+                                            .m_confirmationAgeMs = age }))
+                  .ok());
+  }
+}
--- a/lib/dissemination/StatusMessage.cpp
+++ b/lib/dissemination/StatusMessage.cpp
@@ -1,9 +1,9 @@
 // A status is encoded as a MessagePack list of fields that starts with the format version.
 #include "dissemination/StatusMessage.h"
 
+#include "base/BoundedText.h"
 #include "base/Hash.h"
-
-#include <nlohmann/json.hpp>
+#include "base/JsonReader.h"
 
 namespace tamarack::dissemination {
 
@@ -18,6 +18,8 @@
 constexpr uint8_t kRequestsReply = 4;
 /// Position of the load in the list. Earlier builds ignore fields from here on.
 constexpr size_t kLoadField = 13;
+/// About 31 years; sums with it do not overflow.
+constexpr int64_t kMaxConfirmationAgeMs = 1'000'000'000'000;
 /// Largest number of bytes that MessagePack puts before a binary value of the size of a load.
 constexpr size_t kBinaryHeaderBytes = 3;
 
@@ -84,30 +86,33 @@
 decodeStatus(std::span<const uint8_t> aBytes)
 {
   try {
-    const Json fields = Json::from_msgpack(aBytes.begin(), aBytes.end());
-    if (fields.at(0).get<int>() != kFormatVersion) {
+    const Json fields = parseMessagePack(aBytes);
+    if (toInteger<int>(fields.at(0)) != kFormatVersion) {
       return absl::InvalidArgumentError("status has an unsupported format version");
     }
-    const auto flags = fields.at(5).get<uint8_t>();
-    StatusMessage status{ .m_sender = HostId{ fields.at(1).get<uint32_t>() },
+    const auto flags = toInteger<uint8_t>(fields.at(5));
+    StatusMessage status{ .m_sender = HostId{ toInteger<uint32_t>(fields.at(1)) },
                           .m_dataCentre = fields.at(2).get<std::string>(),
-                          .m_incarnation = fields.at(3).get<uint32_t>(),
-                          .m_capacity = fields.at(4).get<uint32_t>(),
+                          .m_incarnation = toInteger<uint32_t>(fields.at(3)),
+                          .m_capacity = toInteger<uint32_t>(fields.at(4)),
                           .m_isReader = (flags & kIsReader) != 0,
                           .m_isLeaving = (flags & kIsLeaving) != 0,
                           .m_requestsReply = (flags & kRequestsReply) != 0,
-                          .m_revision = { fields.at(6).get<registry::HistoryId>(),
-                                          fields.at(7).get<uint64_t>() },
-                          .m_confirmationAgeMs = fields.at(8).get<int64_t>(),
+                          .m_revision = { toInteger<registry::HistoryId>(fields.at(6)),
+                                          toInteger<uint64_t>(fields.at(7)) },
+                          .m_confirmationAgeMs = toInteger<int64_t>(fields.at(8)),
                           .m_knownHosts = {},
                           .m_nominees = {},
                           .m_healthReports = {},
                           .m_delta = fields.at(11).get_binary(),
                           .m_load = {} };
+    if (status.m_confirmationAgeMs < -1 || status.m_confirmationAgeMs > kMaxConfirmationAgeMs) {
+      return absl::InvalidArgumentError("status has a confirmation age out of range");
+    }
     const Json& knownHosts = fields.at(9);
     for (size_t index = 0; index < knownHosts.size();) {
-      const auto host = knownHosts.at(index++).get<uint32_t>();
-      const auto capacityAndRole = knownHosts.at(index++).get<uint64_t>();
+      const auto host = toInteger<uint32_t>(knownHosts.at(index++));
+      const auto capacityAndRole = toInteger<uint64_t>(knownHosts.at(index++));
       const bool hasOwnDataCentre = index < knownHosts.size() && knownHosts.at(index).is_string();
       status.m_knownHosts.push_back(
         { HostId{ host },
@@ -116,16 +121,16 @@
           capacityAndRole % 2 != 0 });
     }
     for (const Json& report : fields.at(10)) {
-      const auto signal = report.at(1).get<uint8_t>();
+      const auto signal = toInteger<uint8_t>(report.at(1));
       if (signal > static_cast<uint8_t>(HealthSignal::RefusesFlows)) {
         return absl::InvalidArgumentError("status has an unknown health signal");
       }
-      status.m_healthReports.push_back({ report.at(0).get<uint32_t>(),
+      status.m_healthReports.push_back({ toInteger<uint32_t>(report.at(0)),
                                          static_cast<HealthSignal>(signal),
-                                         HostId{ report.at(2).get<uint32_t>() } });
+                                         HostId{ toInteger<uint32_t>(report.at(2)) } });
     }
     for (const Json& nominee : fields.at(12)) {
-      status.m_nominees.push_back(HostId{ nominee.get<uint32_t>() });
+      status.m_nominees.push_back(HostId{ toInteger<uint32_t>(nominee) });
     }
     if (fields.size() > kLoadField) {
       absl::StatusOr<StatusLoad> load =
@@ -137,7 +142,7 @@
     }
     return status;
   } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(std::string("malformed status: ") + error.what());
+    return absl::InvalidArgumentError("malformed status: " + boundedText(error.what()));
   }
 }
 
--- a/lib/registry/RecordCodec.cpp
+++ b/lib/registry/RecordCodec.cpp
@@ -1,7 +1,9 @@
 // Each record is encoded as a list of fields in a fixed order. Field names would double the size.
 #include "registry/RecordCodec.h"
 
-#include <nlohmann/json.hpp>
+#include "base/BoundedText.h"
+#include "base/JsonReader.h"
+#include "registry/RecordLimits.h"
 
 namespace tamarack::registry {
 
@@ -57,22 +59,29 @@
                        aRecord.m_slots });
 }
 
+Millis
+toDuration(const Json& aField)
+{
+  return clampConfiguredTime(Millis{ toInteger<int64_t>(aField) });
+}
+
 RouteRecord
 decodeRoute(const Json& aFields)
 {
-  RouteRecord route{ .m_address = Ipv4{ aFields.at(0).get<uint32_t>() },
-                     .m_port = aFields.at(1).get<uint16_t>(),
-                     .m_kind = aFields.at(2).get<int>() == 0 ? RequestKind::Idempotent
-                                                             : RequestKind::NonIdempotent,
+  RouteRecord route{ .m_address = Ipv4{ toInteger<uint32_t>(aFields.at(0)) },
+                     .m_port = toInteger<uint16_t>(aFields.at(1)),
+                     .m_kind = toInteger<int>(aFields.at(2)) == 0 ? RequestKind::Idempotent
+                                                                  : RequestKind::NonIdempotent,
                      .m_services = {} };
   for (const Json& service : aFields.at(3)) {
-    route.m_services.push_back({ service.at(0).get<std::string>(), service.at(1).get<uint32_t>() });
+    route.m_services.push_back(
+      { service.at(0).get<std::string>(), toInteger<uint32_t>(service.at(1)) });
   }
   // Hosts of an earlier build send only the first four fields.
   if (aFields.size() > 6) {
-    route.m_priority = aFields.at(4).get<uint32_t>();
-    route.m_latencyObjective = Millis{ aFields.at(5).get<int64_t>() };
-    route.m_deadline = Millis{ aFields.at(6).get<int64_t>() };
+    route.m_priority = toInteger<uint32_t>(aFields.at(4));
+    route.m_latencyObjective = toDuration(aFields.at(5));
+    route.m_deadline = toDuration(aFields.at(6));
   }
   return route;
 }
@@ -80,16 +89,20 @@
 UpstreamRecord
 decodeUpstream(const Json& aFields)
 {
-  return { .m_service = aFields.at(0).get<std::string>(),
-           .m_dataCentre = aFields.at(1).get<std::string>(),
-           .m_address = Ipv4{ aFields.at(2).get<uint32_t>() },
-           .m_port = aFields.at(3).get<uint16_t>(),
-           .m_identity = aFields.at(4).get<uint64_t>(),
-           .m_startedAtMs = aFields.at(5).get<int64_t>(),
-           .m_state =
-             aFields.at(6).get<int>() == 0 ? UpstreamState::Ready : UpstreamState::Draining,
-           .m_warmUpLeft = Millis{ aFields.at(7).get<int64_t>() },
-           .m_slots = aFields.at(8).get<uint32_t>() };
+  UpstreamRecord record{ .m_service = aFields.at(0).get<std::string>(),
+                         .m_dataCentre = aFields.at(1).get<std::string>(),
+                         .m_address = Ipv4{ toInteger<uint32_t>(aFields.at(2)) },
+                         .m_port = toInteger<uint16_t>(aFields.at(3)),
+                         .m_identity = toInteger<uint64_t>(aFields.at(4)),
+                         .m_startedAtMs = toInteger<int64_t>(aFields.at(5)),
+                         .m_state = toInteger<int>(aFields.at(6)) == 0 ? UpstreamState::Ready
+                                                                       : UpstreamState::Draining,
+                         .m_warmUpLeft = Millis{ toInteger<int64_t>(aFields.at(7)) },
+                         .m_slots = toInteger<uint32_t>(aFields.at(8)) };
+  if (const std::string_view fault = findFault(record); !fault.empty()) {
+    throw std::invalid_argument(std::string(fault));
+  }
+  return record;
 }
 
 Record
@@ -97,11 +110,11 @@
 {
   switch (aKind) {
     case RecordKind::Configuration:
-      return ConfigurationRecord{ aFields.at(0).get<uint64_t>(),
-                                  Millis{ aFields.at(1).get<int64_t>() },
-                                  aFields.size() > 2 ? aFields.at(2).get<uint64_t>() : 0 };
+      return ConfigurationRecord{ toInteger<uint64_t>(aFields.at(0)),
+                                  toDuration(aFields.at(1)),
+                                  aFields.size() > 2 ? toInteger<uint64_t>(aFields.at(2)) : 0 };
     case RecordKind::Service:
-      return ServiceRecord{ Millis{ aFields.at(0).get<int64_t>() }, aFields.at(1).get<double>() };
+      return ServiceRecord{ toDuration(aFields.at(0)), aFields.at(1).get<double>() };
     case RecordKind::Route:
       return decodeRoute(aFields);
     case RecordKind::EvacuatedDataCentre:
@@ -137,23 +150,35 @@
   return encoded;
 }
 
-Change
-decodeChange(const Json& aFields, HistoryId aHistory)
+/// Decodes a change and adds it to `aDelta`. An upstream's entry that cannot be read is removed,
+/// as it is where the store is read, and listed as rejected.
+void
+addChange(const Json& aFields, Delta& aDelta)
 {
-  const int kind = aFields.at(0).get<int>();
+  const int kind = toInteger<int>(aFields.at(0));
   if (kind < 0 || kind > static_cast<int>(RecordKind::Upstream)) {
     throw std::out_of_range("unknown record kind");
   }
   Change change{ .m_key = { static_cast<RecordKind>(kind), aFields.at(1).get<std::string>() },
-                 .m_revision = { .m_history =
-                                   aFields.size() > 5 ? aFields.at(5).get<HistoryId>() : aHistory,
-                                 .m_number = aFields.at(2).get<uint64_t>() },
+                 .m_revision = { .m_history = aFields.size() > 5
+                                                ? toInteger<HistoryId>(aFields.at(5))
+                                                : aDelta.m_revision.m_history,
+                                 .m_number = toInteger<uint64_t>(aFields.at(2)) },
                  .m_record = std::nullopt,
                  .m_mayReturn = aFields.at(4).get<bool>() };
-  if (!aFields.at(3).is_null()) {
-    change.m_record = decodeRecord(change.m_key.m_kind, aFields.at(3));
+  try {
+    if (!aFields.at(3).is_null()) {
+      change.m_record = decodeRecord(change.m_key.m_kind, aFields.at(3));
+    }
+  } catch (const std::exception& error) {
+    if (change.m_key.m_kind != RecordKind::Upstream) {
+      throw;
+    }
+    change.m_mayReturn = true;
+    aDelta.m_rejectedItems.push_back(boundedText(change.m_key.m_name) + ": " +
+                                     boundedText(error.what()));
   }
-  return change;
+  aDelta.m_changes.push_back(std::move(change));
 }
 
 } // namespace
@@ -184,19 +209,19 @@
 decodeDelta(std::span<const uint8_t> aBytes)
 {
   try {
-    const Json fields = Json::from_msgpack(aBytes.begin(), aBytes.end());
+    const Json fields = parseMessagePack(aBytes);
     Delta delta{
-      .m_base = { fields.at(0).get<HistoryId>(), fields.at(1).get<uint64_t>() },
-      .m_revision = { fields.at(2).get<HistoryId>(), fields.at(3).get<uint64_t>() },
+      .m_base = { toInteger<HistoryId>(fields.at(0)), toInteger<uint64_t>(fields.at(1)) },
+      .m_revision = { toInteger<HistoryId>(fields.at(2)), toInteger<uint64_t>(fields.at(3)) },
       .m_isSnapshot = fields.at(4).get<bool>(),
       .m_changes = {},
     };
     for (const Json& change : fields.at(5)) {
-      delta.m_changes.push_back(decodeChange(change, delta.m_revision.m_history));
+      addChange(change, delta);
     }
     return delta;
   } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(std::string("malformed delta: ") + error.what());
+    return absl::InvalidArgumentError("malformed delta: " + boundedText(error.what()));
   }
 }
 
--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -197,7 +197,7 @@
   for (const Change& change : aUpdate.m_changes) {
     present.insert(change.m_key);
     Change applied = change;
-    applied.m_mayReturn = !change.m_record && mayReturn;
+    applied.m_mayReturn = !change.m_record && (mayReturn || change.m_mayReturn);
     if (apply(applied)) {
       changed.push_back(std::move(applied));
     }
--- a/lib/registry/Registry.h
+++ b/lib/registry/Registry.h
@@ -29,6 +29,9 @@
   /// Whether the delta lists all records, so that records missing from it have been removed.
   bool m_isSnapshot{};
   std::vector<Change> m_changes;
+  /// Entries of upstreams that could not be read, each as its name followed by the reason. Not
+  /// encoded.
+  std::vector<std::string> m_rejectedItems;
 };
 
 /// A record of an upstream that was written again, changed or not.
--- a/lib/registry/RegistryTest.cpp
+++ b/lib/registry/RegistryTest.cpp
@@ -2,7 +2,9 @@
 #include "registry/RecordCodec.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 
@@ -540,3 +542,120 @@
     }
   }
 }
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kDeepNesting = 100'000;
+
+/// Returns a value that is nested deeply, as MessagePack.
+std::vector<uint8_t>
+nestedMessagePack()
+{
+  std::vector<uint8_t> bytes(kDeepNesting, 0x91);
+  bytes.push_back(0xc0);
+  return bytes;
+}
+
+/// Replaces the text "@" in an encoded value by other bytes.
+std::vector<uint8_t>
+spliced(std::vector<uint8_t> aBytes, const std::vector<uint8_t>& aInserted)
+{
+  const std::array<uint8_t, 2> marker{ 0xa1, '@' };
+  const auto found = std::ranges::search(aBytes, marker);
+  REQUIRE(!found.empty());
+  const auto position = aBytes.erase(found.begin(), found.end());
+  aBytes.insert(position, aInserted.begin(), aInserted.end());
+  return aBytes;
+}
+
+} // namespace
+
+TEST_CASE("an odd entry in the records of another host is left out, and the host follows on")
+{
+  // Guards against the operators' report: hosts that read such a list ended, or stopped to follow
+  // it.
+  Registry reader;
+  reader.merge(snapshot(10, { upstream("a", 1), upstream("b", 2), upstream("c", 3) }), false);
+  const std::vector<uint8_t> bytes = encodeDelta(reader.changesSince({}));
+  const Json fields = Json::from_msgpack(bytes);
+  const std::vector<Json> oddValues{ 1e300,
+                                     -1e300,
+                                     0.5,
+                                     -1,
+                                     -0.5,
+                                     nullptr,
+                                     true,
+                                     "x",
+                                     Json::array(),
+                                     Json::object(),
+                                     std::numeric_limits<uint64_t>::max(),
+                                     std::numeric_limits<int64_t>::max(),
+                                     std::numeric_limits<int64_t>::min(),
+                                     uint64_t{ 1 } << 32,
+                                     65'536,
+                                     std::string(1'000'000, 'x'),
+                                     "@" };
+  for (size_t field = 0; field < 9; ++field) {
+    for (const Json& value : oddValues) {
+      Json mutated = fields;
+      mutated[5][1][3][field] = value;
+      std::vector<uint8_t> encoded = Json::to_msgpack(mutated);
+      if (value == "@") {
+        encoded = spliced(encoded, nestedMessagePack());
+      }
+      Registry host;
+      const auto delta = decodeDelta(encoded);
+      if (!delta.ok()) {
+        // Nothing is merged of a message that is nested too deeply.
+        CHECK(value == "@");
+        CHECK(delta.status().message().size() < 400);
+        continue;
+      }
+      const auto changes = host.merge(*delta);
+      CHECK(std::ranges::count(
+              changes, "a", [](const Change& aChange) { return aChange.m_key.m_name; }) == 1);
+      CHECK(std::ranges::count(
+              changes, "c", [](const Change& aChange) { return aChange.m_key.m_name; }) == 1);
+      CHECK(host.appliedRevision() == reader.appliedRevision());
+      CHECK(delta->m_rejectedItems.size() == 3 - changes.size());
+      for (const std::string& line : delta->m_rejectedItems) {
+        CHECK(line.size() < 600);
+      }
+      for (const Change& change : changes) {
+        const auto& record = std::get<UpstreamRecord>(*change.m_record);
+        CHECK((TimePoint{ Millis{ 100'000 } } + record.m_warmUpLeft).time_since_epoch().count() >
+              0);
+      }
+      // The next good change of the same upstream is followed.
+      Registry next = reader;
+      next.merge(
+        StoreUpdate{ .m_revision = { .m_number = 12 }, .m_changes = { upstream("b", 12) } }, false);
+      const auto later = decodeDelta(encodeDelta(next.changesSince(host.appliedRevision())));
+      REQUIRE(later.ok());
+      (void)host.merge(*later);
+      CHECK(host.changesSince({}).m_changes.size() == 3);
+    }
+  }
+}
+
+TEST_CASE("deltas that are nested deeply or have numbers beyond their types do not end the process")
+{
+  CHECK_FALSE(decodeDelta(nestedMessagePack()).ok());
+  Registry reader;
+  reader.merge(snapshot(10, { upstream("a", 1) }), false);
+  const Json fields = Json::from_msgpack(encodeDelta(reader.changesSince({})));
+  for (size_t field = 0; field < 6; ++field) {
+    for (const Json& value : { Json(1e300), Json(-1), Json(0.5), Json("@"), Json(nullptr) }) {
+      Json mutated = fields;
+      mutated[field] = value;
+      std::vector<uint8_t> encoded = Json::to_msgpack(mutated);
+      if (value == "@") {
+        encoded = spliced(encoded, nestedMessagePack());
+      }
+      const auto delta = decodeDelta(encoded);
+      CHECK((!delta.ok() || (field == 5 && value.is_null())));
+    }
+  }
+}
--- a/lib/settings/LastKnownGoodSettings.cpp
+++ b/lib/settings/LastKnownGoodSettings.cpp
@@ -1,6 +1,9 @@
 // Validates documents part by part, merges snapshots and converts snapshots to and from JSON.
 #include "settings/LastKnownGoodSettings.h"
 
+#include "base/BoundedText.h"
+#include "base/JsonReader.h"
+
 #include <set>
 
 namespace tamarack::settings {
@@ -27,7 +30,7 @@
 VersionedPart
 partFromJson(const Json& aJson)
 {
-  return { .m_revision = aJson.at("revision").get<Revision>(), .m_value = aJson.at("value") };
+  return { .m_revision = toInteger<Revision>(aJson.at("revision")), .m_value = aJson.at("value") };
 }
 
 void
@@ -75,14 +78,14 @@
 {
   try {
     SettingsSnapshot snapshot;
-    snapshot.m_revision = aJson.at("revision").get<Revision>();
+    snapshot.m_revision = toInteger<Revision>(aJson.at("revision"));
     snapshot.m_root = partFromJson(aJson.at("root"));
     for (const auto& [team, part] : aJson.at("teams").items()) {
       snapshot.m_teams.emplace(team, partFromJson(part));
     }
     return snapshot;
-  } catch (const Json::exception& error) {
-    return absl::InvalidArgumentError(std::string("malformed settings snapshot: ") + error.what());
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError("malformed settings snapshot: " + boundedText(error.what()));
   }
 }
 
--- a/lib/settings/SettingsDistributor.cpp
+++ b/lib/settings/SettingsDistributor.cpp
@@ -1,6 +1,7 @@
 // Selects the sources to watch, delays retries after failures, and builds full or patch responses.
 #include "settings/SettingsDistributor.h"
 
+#include "base/BoundedText.h"
 #include "base/Hash.h"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 
 /// The number of peers that a reader watches in addition to the platform, chosen among all hosts.
 constexpr size_t kExtraPeers = 1;
+/// Limit of the errors of one document that are logged; `tamarackctl check` lists all of them.
+constexpr size_t kMaxReportedErrors = 16;
 
 } // namespace
 
@@ -190,8 +193,16 @@
 void
 SettingsDistributor::recordResult(TimePoint aNow, const ApplyResult& aResult)
 {
-  for (const ValidationError& error : aResult.m_errors) {
-    m_events.add(aNow, EventId::SubtreeRefused, error.m_path + " " + error.m_message);
+  const size_t reported = std::min(aResult.m_errors.size(), kMaxReportedErrors);
+  for (size_t index = 0; index < reported; ++index) {
+    const ValidationError& error = aResult.m_errors[index];
+    const size_t others = aResult.m_errors.size() - reported;
+    m_events.add(aNow,
+                 EventId::SubtreeRefused,
+                 boundedText(error.m_path) + " " + boundedText(error.m_message) +
+                   (index + 1 == reported && others > 0
+                      ? " (further errors: " + std::to_string(others) + ")"
+                      : std::string()));
   }
   if (!aResult.m_changed) {
     return;
--- a/lib/settings/SettingsTest.cpp
+++ b/lib/settings/SettingsTest.cpp
@@ -249,3 +249,114 @@
   CHECK_FALSE(distributor.onPeerResponse(now, HostId{ 2 }, "not json"));
   CHECK_FALSE(distributor.onPeerResponse(now, HostId{ 2 }, R"({"revision": 1})"));
 }
+
+namespace {
+
+/// Odd values of a field, as JSON texts.
+std::vector<std::string>
+oddValues()
+{
+  std::string nested;
+  for (int depth = 0; depth < 100'000; ++depth) {
+    nested += "[";
+  }
+  return { nested + std::string(100'000, ']'),
+           nested,
+           "1e300",
+           "1e999",
+           "-1",
+           "0.5",
+           "0",
+           "65536",
+           "65979",
+           "4294967296",
+           "18446744073709551616",
+           std::string(5000, '9'),
+           "null",
+           '"' + std::string(500'000, 'x') + '"' };
+}
+
+} // namespace
+
+TEST_CASE("odd numbers in the subtree of a team change nothing, and the next good document is used")
+{
+  // Guards against the operators' report for the settings of the native programs.
+  EventLog events;
+  SettingsDistributor distributor({ .m_self = HostId{ 1 }, .m_dataCentre = "recife" }, events);
+  TimePoint now{ Millis{ 100'000 } };
+  Revision revision = 0;
+  const auto publish = [&](const std::string& aText) {
+    now += Millis{ 100 };
+    (void)events.takeUnlogged();
+    distributor.onPlatformResponse(now, { .m_settingsRevision = ++revision, .m_settings = aText });
+  };
+  publish(makeDocument().dump());
+  for (const std::string& field : { std::string(R"("ports":[443])"),
+                                    std::string(R"("connections":2000)"),
+                                    std::string(R"("slots":4)"),
+                                    std::string(R"("seconds":30)"),
+                                    std::string(R"("new_flows_per_s":20)"),
+                                    std::string(R"("address":"10.1.0.1")") }) {
+    for (const std::string& value : oddValues()) {
+      std::string text = makeDocument().dump();
+      const size_t position = text.find(field);
+      REQUIRE(position != std::string::npos);
+      const bool isPort = field.starts_with(R"("ports")");
+      text.replace(position,
+                   field.size(),
+                   field.substr(0, field.find(':') + 1) + (isPort ? "[" + value + "]" : value));
+      publish(text);
+      const auto lines = events.takeUnlogged();
+      CHECK(lines.size() <= 18);
+      for (const Event& line : lines) {
+        CHECK(line.m_text.size() < 600);
+      }
+      REQUIRE(distributor.settings()->findService("feed") != nullptr);
+      CHECK(distributor.settings()->findService("guide") != nullptr);
+      CHECK(distributor.settings()->findService("feed")->m_ports.front() == 443);
+      // The next good document is followed.
+      Json good = makeDocument();
+      good["data_centres"]["natal"]["state"] = "out";
+      publish(good.dump());
+      CHECK(distributor.settings()->isDataCentreOut("natal"));
+      publish(makeDocument().dump());
+      CHECK_FALSE(distributor.settings()->isDataCentreOut("natal"));
+    }
+  }
+}
+
+TEST_CASE("odd answers of another host change nothing, and the next good one is used")
+{
+  EventLog events;
+  SettingsDistributor source({ .m_self = HostId{ 1 }, .m_dataCentre = "recife" }, events);
+  SettingsDistributor watcher({ .m_self = HostId{ 2 }, .m_dataCentre = "recife" }, events);
+  const TimePoint now{ Millis{ 100'000 } };
+  source.onPlatformResponse(now, { .m_settingsRevision = 1, .m_settings = makeDocument().dump() });
+  const std::string good = source.buildResponse(now, { 0, 0 });
+  REQUIRE(watcher.onPeerResponse(now, HostId{ 1 }, good));
+  (void)events.takeUnlogged();
+  for (const std::string& value : oddValues()) {
+    for (const std::string& text :
+         { R"({"revision":)" + value + R"(,"age_ms":0})",
+           R"({"revision":5,"age_ms":)" + value + R"(,"seen_ms":)" + value + "}",
+           R"({"revision":5,"age_ms":0,"form":)" + value + "}",
+           R"({"revision":5,"age_ms":0,"from":1,"patch":)" + value + "}",
+           R"({"revision":5,"age_ms":0,"form":{"revision":5,"root":{"revision":5,"value":)" +
+             value + R"(},"teams":{}}})",
+           R"({"revision":5,"age_ms":0,"hosts_revision":5,"hosts":)" + value + "}",
+           value }) {
+      SettingsDistributor host({ .m_self = HostId{ 2 }, .m_dataCentre = "recife" }, events);
+      (void)events.takeUnlogged();
+      (void)host.onPeerResponse(now, HostId{ 1 }, text);
+      for (const Event& line : events.takeUnlogged()) {
+        CHECK(line.m_text.size() < 700);
+      }
+      (void)watcher.onPeerResponse(now, HostId{ 1 }, R"({"revision":)" + value + R"(,"age_ms":0})");
+    }
+  }
+  Json document = makeDocument();
+  document["data_centres"]["natal"]["state"] = "out";
+  source.onPlatformResponse(now, { .m_settingsRevision = 2, .m_settings = document.dump() });
+  CHECK(watcher.onPeerResponse(now, HostId{ 1 }, source.buildResponse(now, { 1, 0 })));
+  CHECK(watcher.settings()->isDataCentreOut("natal"));
+}
--- a/lib/settings/StateReplica.cpp
+++ b/lib/settings/StateReplica.cpp
@@ -1,6 +1,8 @@
 // Parses host lists and applies watch responses.
 #include "settings/StateReplica.h"
 
+#include "base/BoundedText.h"
+#include "base/JsonReader.h"
 #include "settings/FieldReader.h"
 
 #include <array>
@@ -12,6 +14,8 @@
 using namespace std::string_view_literals;
 
 constexpr std::array kHostStates{ "live"sv, "leaving"sv };
+/// About 31 years; sums with it do not overflow.
+constexpr int64_t kMaxAgeMs = 1'000'000'000'000;
 
 } // namespace
 
@@ -56,20 +60,22 @@
 absl::StatusOr<ApplyResult>
 StateReplica::applyResponse(TimePoint aNow, std::string_view aResponse)
 {
-  const Json json = Json::parse(aResponse, nullptr, false);
   try {
-    const Revision revision = json.at("revision").get<Revision>();
-    const Millis age(json.at("age_ms").get<int64_t>());
+    const Json json = parseJson(aResponse);
+    const auto revision = toInteger<Revision>(json.at("revision"));
+    const Millis age{ toNonNegative(json.at("age_ms"), kMaxAgeMs) };
     const Revision previousRevision = snapshot().m_revision;
     auto result = applySettings(json);
     if (snapshot().m_revision > previousRevision) {
-      m_revisionFirstSeenAt = aNow - Millis(json.value("seen_ms", int64_t{ 0 }));
+      const auto seen = json.find("seen_ms");
+      m_revisionFirstSeenAt =
+        aNow - Millis{ seen == json.end() ? 0 : toNonNegative(*seen, kMaxAgeMs) };
     }
     if (!result.ok()) {
       return result;
     }
     if (const auto hosts = json.find("hosts"); hosts != json.end()) {
-      auto parsed = parseHostList(json.at("hosts_revision").get<Revision>(), hosts->dump());
+      auto parsed = parseHostList(toInteger<Revision>(json.at("hosts_revision")), hosts->dump());
       if (!parsed.ok()) {
         return parsed.status();
       }
@@ -80,8 +86,8 @@
       confirm(aNow - age);
     }
     return result;
-  } catch (const Json::exception& error) {
-    return absl::InvalidArgumentError(std::string("malformed watch response: ") + error.what());
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError("malformed watch response: " + boundedText(error.what()));
   }
 }
 
@@ -90,7 +96,7 @@
 {
   absl::StatusOr<SettingsSnapshot> received = absl::NotFoundError("no settings snapshot");
   if (const auto patch = aResponse.find("patch"); patch != aResponse.end()) {
-    if (aResponse.at("from").get<Revision>() != snapshot().m_revision) {
+    if (toInteger<Revision>(aResponse.at("from")) != snapshot().m_revision) {
       return absl::FailedPreconditionError(
         "the settings patch is based on another revision than the local one");
     }
--- a/lib/wire/Codec.cpp
+++ b/lib/wire/Codec.cpp
@@ -2,8 +2,10 @@
 // members in order to the archive, which is a Writer when encoding and a Reader when decoding.
 #include "wire/Codec.h"
 
+#include "base/BoundedText.h"
+#include "base/JsonReader.h"
+
 #include <concepts>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 
@@ -15,6 +17,8 @@
 
 /// The maximum number of elements in a list. Frames with a longer list are rejected.
 constexpr size_t kMaxListLength = 70'000;
+/// The greatest time, in milliseconds: about 285,000 years.
+constexpr int64_t kMaxMillis = int64_t{ 1 } << 53;
 
 template<typename Archive>
 void
@@ -108,8 +112,8 @@
   void element(uint32_t& aValue) { aValue = number<uint32_t>(); }
   void element(uint64_t& aValue) { aValue = number<uint64_t>(); }
   void element(std::string& aValue) { aValue = next().get<std::string>(); }
-  void element(TimePoint& aValue) { aValue = TimePoint{ Millis(next().get<int64_t>()) }; }
-  void element(Millis& aValue) { aValue = Millis(next().get<int64_t>()); }
+  void element(TimePoint& aValue) { aValue = TimePoint{ duration() }; }
+  void element(Millis& aValue) { aValue = duration(); }
 
   template<typename Tag, typename Number>
   void element(StrongId<Tag, Number>& aValue)
@@ -186,6 +190,16 @@
 
   const Json& next() { return m_array.at(m_index++); }
 
+  /// Reads a time in milliseconds. Throws if sums with it could overflow.
+  Millis duration()
+  {
+    const auto count = toInteger<int64_t>(next());
+    if (count < -kMaxMillis || count > kMaxMillis) {
+      throw std::invalid_argument("time out of range");
+    }
+    return Millis{ count };
+  }
+
   /// Reads an unsigned number. Throws if it exceeds the range of its type.
   template<typename Number>
   Number number()
@@ -325,17 +339,17 @@
     return absl::InvalidArgumentError("frame exceeds the maximum length");
   }
   try {
-    const Json json = Json::from_msgpack(aBytes.begin(), aBytes.end());
+    const Json json = parseMessagePack(aBytes);
     node::Frame frame;
     Reader heartbeat(json.at(0));
     serialize(heartbeat, frame.m_heartbeat);
     for (const Json& item : json.at(1)) {
       frame.m_bodies.push_back(
-        { item.at(0).get<uint32_t>(), readBody(item.at(1).get<size_t>(), item.at(2)) });
+        { toInteger<uint32_t>(item.at(0)), readBody(toInteger<size_t>(item.at(1)), item.at(2)) });
     }
     return frame;
   } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(std::string("malformed frame: ") + error.what());
+    return absl::InvalidArgumentError("malformed frame: " + boundedText(error.what()));
   }
 }
 
--- a/lib/wire/CodecTest.cpp
+++ b/lib/wire/CodecTest.cpp
@@ -95,3 +95,16 @@
   }
   CHECK(rejectedCount > 1000);
 }
+
+TEST_CASE("frames that are nested deeply or hold an impossible time are rejected")
+{
+  std::vector<uint8_t> nested(1'000'000, 0x91);
+  nested.push_back(0xc0);
+  CHECK_FALSE(wire::decodeFrame(nested).ok());
+  for (const int64_t time :
+       { std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::min() }) {
+    node::Frame frame = makeFrame();
+    frame.m_heartbeat.m_sentAt = TimePoint{ Millis{ time } };
+    CHECK_FALSE(wire::decodeFrame(wire::encodeFrame(frame)).ok());
+  }
+}
