[edge] Items that cannot be read fill neither the log nor the memory

Entries with ever new names of services and data centres left objects behind that were never erased.

Change: one line an item, at most 600 bytes, with a rate limit of one a second and a burst of eight; the next line tells how many were left out (omitted). All log lines are bounded to 2,000 bytes and free of control characters. A directory keeps at most 256 data centres, and erases services that no configuration names and that have no upstreams.

Tests: RejectedItemTest "any number of items that cannot be read are told in a few short lines" (20,000 items: at most 12 lines; one line each before), "an item that cannot be read in the place of an upstream's entry costs no open flow", "entries that name ever new services and data centres do not fill the memory"; LogTest.

--- a/lib/edge/HeartbeatFixture.h
+++ b/lib/edge/HeartbeatFixture.h
@@ -93,10 +93,16 @@
     m_expiry[aIdentity] = m_now + 3 * kHeartbeatInterval;
   }
 
-  /// Writes an entry once.
-  void write(const std::string& aName, const std::optional<registry::UpstreamRecord>& aRecord)
+  /// Writes an entry once, or removes it. `aMayReturn` says that it was replaced by an item that
+  /// cannot be read.
+  void write(const std::string& aName,
+             const std::optional<registry::UpstreamRecord>& aRecord,
+             bool aMayReturn = false)
   {
-    registry::Change change{ { registry::RecordKind::Upstream, aName }, nextRevision() };
+    registry::Change change{ .m_key = { registry::RecordKind::Upstream, aName },
+                             .m_revision = nextRevision(),
+                             .m_record = std::nullopt,
+                             .m_mayReturn = aMayReturn };
     if (aRecord) {
       change.m_record = *aRecord;
     }
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -2,6 +2,7 @@
 // and keeps the state that they share consistent.
 #include "edge/Host.h"
 
+#include "base/BoundedText.h"
 #include "registry/RecordCodec.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 /// Limit of the encoded difference that a status carries; without one, a status is smaller than
 /// this. Hosts that lack a larger difference pull it over HTTP/2.
 constexpr size_t kMaxInlineDifferenceBytes = 1000;
+/// Limit of the text about an item that cannot be read: its key and the reason.
+constexpr size_t kMaxRejectedItemBytes = 2 * kMaxQuotedBytes + 10;
 
 /// The observation of an upstream's health that a flow event implies, if any.
 std::optional<dissemination::HealthSignal>
@@ -55,9 +58,7 @@
                     bool aIsDisturbed,
                     TimePoint aConfirmedAt)
 {
-  for (const std::string& refused : aUpdate.m_rejectedItems) {
-    logEvent(EventId::RecordRefused, "item=\"" + refused + "\"");
-  }
+  logRejectedItems(aNow, aUpdate.m_rejectedItems, {});
   const registry::Revision before = m_registry.appliedRevision();
   if (aUpdate.m_revision.m_history >= m_distrustedHistory) {
     m_distrustedHistory = 0;
@@ -75,6 +76,23 @@
   refreshView(aNow);
 }
 
+void
+Host::logRejectedItems(TimePoint aNow,
+                       std::span<const std::string> aItems,
+                       const std::string& aFrom)
+{
+  for (const std::string& item : aItems) {
+    if (!m_rejectedItemLogLimit.tryAcquire(aNow)) {
+      ++m_omittedRejectedItems;
+      continue;
+    }
+    const uint64_t omitted = std::exchange(m_omittedRejectedItems, 0);
+    logEvent(EventId::RecordRefused,
+             aFrom + "item=\"" + boundedText(item, kMaxRejectedItemBytes) + "\"" +
+               (omitted == 0 ? "" : " omitted=" + std::to_string(omitted)));
+  }
+}
+
 bool
 Host::canDecide(TimePoint aNow, const steering::FlowPacket& aPacket) const
 {
@@ -111,6 +129,7 @@
   if (!isTrusted(aDifference.m_revision)) {
     return;
   }
+  logRejectedItems(aNow, aDifference.m_rejectedItems, "host=" + formatHost(aFrom) + " ");
   const registry::Revision before = m_registry.appliedRevision();
   const auto changes = m_registry.merge(aDifference);
   onChanges(aNow, changes);
@@ -141,9 +160,8 @@
     if (difference.ok()) {
       onDifference(aNow, *difference, aStatus.m_sender);
     } else {
-      logEvent(EventId::RecordRefused,
-               "host=" + formatHost(aStatus.m_sender) + " item=\"" +
-                 std::string(difference.status().message()) + "\"");
+      const std::string message(difference.status().message());
+      logRejectedItems(aNow, { &message, 1 }, "host=" + formatHost(aStatus.m_sender) + " ");
     }
   }
   // After a pause of this process, the status may have waited in the socket buffer, so the age that
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -18,6 +18,10 @@
 /// host at the design size opens 110 flows per second.
 inline constexpr double kFlowLogLinesPerSecond = 120;
 inline constexpr double kFlowLogLineBurst = 240;
+/// Rate limit of log lines about items that cannot be read: lines per second, and the burst. An
+/// item is logged whenever it is read, and another writer may write any number of them.
+inline constexpr double kRejectedItemLinesPerSecond = 1;
+inline constexpr double kRejectedItemLineBurst = 8;
 /// Limit of observations of upstreams that wait for the next status.
 inline constexpr size_t kMaxPendingHealthReports = 32;
 
@@ -152,6 +156,11 @@
   /// Adds the pending observations and, on a reader, the changed records if they fit, and encodes
   /// the status.
   [[nodiscard]] std::vector<uint8_t> encodeWithUpdates(dissemination::StatusMessage aStatus);
+  /// Logs items that cannot be read, within the rate limit. `aFrom` are fields that name the
+  /// source, or empty for the store.
+  void logRejectedItems(TimePoint aNow,
+                        std::span<const std::string> aItems,
+                        const std::string& aFrom);
   /// Applies merged changes to the directory of the steering.
   void onChanges(TimePoint aNow, std::span<const registry::Change> aChanges);
   /// Logs that the store began a new history, if the merge of `aChanges` changed records showed
@@ -201,6 +210,9 @@
   bool m_isReader{};
   /// The records are too old to be trusted, as last logged.
   bool m_isViewStale{};
+  RateLimiter m_rejectedItemLogLimit{ kRejectedItemLinesPerSecond, kRejectedItemLineBurst };
+  /// Items that the rate limit left out since the last line about one.
+  uint64_t m_omittedRejectedItems{};
   RateLimiter m_flowLogLimit{ kFlowLogLinesPerSecond, kFlowLogLineBurst };
   uint64_t m_historyChanges{};
   uint64_t m_omittedLogLines{};
--- a/lib/logging/Log.cpp
+++ b/lib/logging/Log.cpp
@@ -16,6 +16,7 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
 
+#include <algorithm>
 #include <string>
 #include <unistd.h>
 
@@ -76,11 +77,21 @@
   flushLog();
 }
 
+std::string
+boundedFields(std::string_view aFields)
+{
+  // Names in fields come from other programs, and a line break would forge a line.
+  std::string fields(aFields.substr(0, kMaxLineBytes));
+  std::ranges::replace_if(
+    fields, [](char aCharacter) { return static_cast<unsigned char>(aCharacter) < 0x20; }, '?');
+  return aFields.size() > kMaxLineBytes ? fields + "..." : fields;
+}
+
 void
 logFields(EventId aId, std::string_view aFields)
 {
   BOOST_LOG(logger()) << "event=" << static_cast<int>(aId) << " name=" << eventName(aId) << " "
-                      << aFields;
+                      << boundedFields(aFields);
 }
 
 void
--- a/lib/logging/Log.h
+++ b/lib/logging/Log.h
@@ -5,6 +5,7 @@
 #include "base/Events.h"
 
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace tamarack::logging {
@@ -19,6 +20,13 @@
 void
 logEvent(EventId aId, std::string_view aText);
 
+/// Longest text of a line, in bytes.
+inline constexpr size_t kMaxLineBytes = 2000;
+
+/// Returns `aFields` as they are logged: without control characters, and cut at kMaxLineBytes.
+[[nodiscard]] std::string
+boundedFields(std::string_view aFields);
+
 /// Logs one line whose text is a list of `name=value` fields. The line stays in the buffer until
 /// the next flush.
 void
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -181,6 +181,17 @@
   if (known != nullptr && aChange.m_isRestored && holdRestoredRecord(aNow, *known, record)) {
     return;
   }
+  if (!hasRoomFor(record.m_dataCentre)) {
+    if (!std::exchange(m_isLimitLogged, true)) {
+      m_events.push_back({ EventId::RecordRefused,
+                           "item=\"" + aChange.m_key.m_name + ": more than " +
+                             std::to_string(kMaxDataCentres) + " data centres\"" });
+    }
+    if (known != nullptr && known->m_registration == RegistrationState::Registered) {
+      setUnregistered(aNow, *known, RegistrationState::Missing, "entry-replaced");
+    }
+    return;
+  }
   Upstream* const instance = findInstance(aChange.m_key.m_name, record, known);
   if (known != nullptr && known != instance) {
     // An entry of a service that no configuration names was written by another writer. It replaces
@@ -420,6 +431,9 @@
   for (Upstream* upstream : expired) {
     eraseUpstream(*upstream);
   }
+  if (!expired.empty()) {
+    eraseUnusedServices();
+  }
   resolveAddressClaims(aNow);
   for (auto& [name, service] : m_services) {
     double localUpstreams = 0;
@@ -456,6 +470,14 @@
                 [&aUpstream](const auto& aEntry) { return aEntry.get() == &aUpstream; });
 }
 
+void
+ServiceDirectory::eraseUnusedServices()
+{
+  absl::erase_if(m_services, [](const auto& aEntry) {
+    return aEntry.second->m_upstreams.empty() && !aEntry.second->isNamed();
+  });
+}
+
 const Route*
 ServiceDirectory::findRoute(Ipv4 aAddress, uint16_t aPort) const
 {
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -44,6 +44,9 @@
 /// Time without a renewal of any entry after which the registry, rather than an upstream, is taken
 /// to be silent.
 inline constexpr Millis kMaxRenewalGap{ 1200 };
+/// Limit of the data centres, far above the design size. Entries that name further ones are left
+/// out, since what a directory knows of a data centre is never erased.
+inline constexpr size_t kMaxDataCentres = 256;
 /// Maximum delay until an upstream that turned cold reports it with its next heartbeat; heartbeats
 /// are 1.2 s apart.
 inline constexpr Millis kColdReportDelay{ 1300 };
@@ -293,7 +296,14 @@
                        Upstream& aUpstream,
                        RegistrationState aState,
                        const std::string& aReason);
+  /// Whether the data centre of an entry is known or may be added.
+  [[nodiscard]] bool hasRoomFor(const std::string& aDataCentre) const
+  {
+    return m_dataCentres.size() < kMaxDataCentres || m_dataCentres.contains(aDataCentre);
+  }
   DataCentre& findOrAddDataCentre(const std::string& aName);
+  /// Erases services that no configuration names and that have no upstreams.
+  void eraseUnusedServices();
   Service& findOrAddService(const std::string& aName);
   /// Adds a route to the terms of the services that it uses, or removes it from them.
   void addRouteTerms(const Route& aRoute);
@@ -331,6 +341,8 @@
   absl::flat_hash_map<std::string, TimePoint> m_outHoldExpiry;
   std::vector<DirectoryEvent> m_events;
   bool m_logsRegistrations{ true };
+  /// That the number of data centres has reached its limit was logged.
+  bool m_isLimitLogged{};
   TimePoint m_lastTick;
 };
 
