--- a/lib/registry/RegistryTest.cpp
+++ b/lib/registry/RegistryTest.cpp
@@ -563,9 +563,9 @@
 spliced(std::vector<uint8_t> aBytes, const std::vector<uint8_t>& aInserted)
 {
   const std::array<uint8_t, 2> marker{ 0xa1, '@' };
-  const auto found = std::ranges::search(aBytes, marker);
-  REQUIRE(!found.empty());
-  const auto position = aBytes.erase(found.begin(), found.end());
+  const auto found = std::search(aBytes.begin(), aBytes.end(), marker.begin(), marker.end());
+  REQUIRE(found != aBytes.end());
+  const auto position = aBytes.erase(found, found + marker.size());
   aBytes.insert(position, aInserted.begin(), aInserted.end());
   return aBytes;
 }
