[steering] A copy of an entry does not keep the token of an upstream

What could happen: another writer copies an entry under another id with the same digits, with another address. On a host that starts, the copy may come first in the listing and get the token of the upstream: packets of its open flows went to the address of the copy. The loser of a token got no new flows for good, also after the other one had ended.

Cause: ServiceDirectory::indexToken resolved a collision once, by identity and then by order of arrival, and nothing looked at it again: a verdict without an age.

Change: of two entries with one identity, the one that was written last holds the token until the host has seen one of them renewed, and the one that is silent gives it up, by the rule that holds for addresses. A token becomes free when its holder has ended or is forgotten.

Tests: AddressClaimsTest "a host that starts sends the packets of open flows to the upstream, not to a copy of its entry with another address" (copy first and last), "an upstream whose token another one had gets new flows once that one has ended".

--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -32,6 +32,7 @@
     }
   }
   resolveAddressClaims(aNow);
+  resolveTokenConflicts();
 }
 
 void
@@ -141,6 +142,31 @@
   }
 }
 
+void
+ServiceDirectory::resolveTokenConflicts()
+{
+  for (const auto& upstream : m_upstreams) {
+    if (!upstream->m_hasTokenConflict ||
+        upstream->m_registration != RegistrationState::Registered) {
+      continue;
+    }
+    Upstream*& holder = m_upstreamByToken[upstream->m_token.m_value];
+    const bool isFree = holder == nullptr || holder == upstream.get() ||
+                        holder->m_registration == RegistrationState::Ended;
+    if (!isFree && (holder->m_record.m_identity != upstream->m_record.m_identity ||
+                    !displaces(*upstream, *holder))) {
+      continue;
+    }
+    if (!isFree) {
+      holder->m_hasTokenConflict = true;
+      holder->m_service->m_areOpenUpstreamsStale = true;
+    }
+    holder = upstream.get();
+    upstream->m_hasTokenConflict = false;
+    upstream->m_service->m_areOpenUpstreamsStale = true;
+  }
+}
+
 void
 ServiceDirectory::releaseAddress(Upstream& aUpstream)
 {
--- a/lib/steering/AddressClaimsTest.cpp
+++ b/lib/steering/AddressClaimsTest.cpp
@@ -233,3 +233,43 @@
   fixture.addUpstream(secondEntry("reports"));
   CHECK(fixture.countNewFlows(2) > 0);
 }
+
+TEST_CASE(
+  "a host that starts sends the packets of open flows to the upstream, not to a copy of its "
+  "entry with another address")
+{
+  // The copy has the token of the upstream, and comes first or last in the listing.
+  for (const bool isCopyFirst : { true, false }) {
+    Fixture fixture;
+    registry::UpstreamRecord copy = Fixture::upstreamRecord(1);
+    copy.m_port = 9000;
+    if (isCopyFirst) {
+      fixture.addEntry("copy-1", copy);
+    }
+    fixture.addUpstream(Fixture::upstreamRecord(1));
+    if (!isCopyFirst) {
+      fixture.addEntry("copy-1", copy);
+    }
+    fixture.addUpstream(Fixture::upstreamRecord(3));
+    sendHeartbeats(fixture, 3);
+    const Token token = makeToken(1, 1000);
+    CHECK(fixture.decide(fixture.requestPacket(1, token)).m_port ==
+          Fixture::upstreamRecord(1).m_port);
+    CHECK(fixture.upstream(token).acceptsNewFlows());
+  }
+}
+
+TEST_CASE("an upstream whose token another one had gets new flows once that one has ended")
+{
+  Fixture fixture;
+  fixture.addEntry("copy-1", Fixture::upstreamRecord(1));
+  sendHeartbeats(fixture, 1);
+  registry::UpstreamRecord elsewhere = Fixture::upstreamRecord(1);
+  elsewhere.m_port = 9000;
+  fixture.addEntry("other-1", elsewhere);
+  fixture.apply(
+    { { RecordKind::Upstream, "copy-1" }, fixture.nextRevision(), std::nullopt, false });
+  fixture.advance(kTokenRetention + Millis{ 100 });
+  fixture.renewEntry("other-1");
+  CHECK(fixture.decide(fixture.synPacket(9)).m_port == 9000);
+}
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -383,8 +383,11 @@
   }
   // All hosts must resolve a collision in the same way: the upstream with the smaller identity
   // keeps the token. Of two entries with one identity, one is a copy by another writer.
+  const bool isEntryLater = !entry->m_isRenewed && !aUpstream.m_isRenewed &&
+                            aUpstream.m_renewedRevision > entry->m_renewedRevision;
   const bool isCopyKnown = entry->m_record.m_identity == aUpstream.m_record.m_identity &&
-                           entry->m_hasAddressConflict && !aUpstream.m_hasAddressConflict;
+                           !aUpstream.m_hasAddressConflict &&
+                           (entry->m_hasAddressConflict || isEntryLater);
   Upstream* const first =
     entry->m_record.m_identity <= aUpstream.m_record.m_identity && !isCopyKnown ? entry
                                                                                 : &aUpstream;
@@ -435,6 +438,7 @@
     eraseUnusedServices();
   }
   resolveAddressClaims(aNow);
+  resolveTokenConflicts();
   for (auto& [name, service] : m_services) {
     double localUpstreams = 0;
     service->m_avoidedLocalUpstreams = 0;
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -288,6 +288,9 @@
   [[nodiscard]] bool displaces(const Upstream& aClaimant, const Upstream& aHolder) const;
   /// Gives addresses to upstreams with a claim whose holders have ended.
   void resolveAddressClaims(TimePoint aNow);
+  /// Gives a token to an upstream that was refused it, once its holder has ended or turned out to
+  /// be a copy of the entry by another writer.
+  void resolveTokenConflicts();
   /// Gives up the address of an upstream, or its claim to it.
   void releaseAddress(Upstream& aUpstream);
   void setAddressConflict(Upstream& aUpstream, bool aHasConflict);
