[steering] A successor is used at once in a fleet of two upstreams, too

Cause: a gap of 1.2 s between the renewals of all entries counted as silence of the store, and restarted the silence of each upstream. With one or two upstreams that is the usual gap, so the holder of an address whose entry never expires would never have counted as silent, and its successor would have got no flows.

Change: the gap is 2.8 s, more than two heartbeats; besides, silence restarts while the records of a host are stale, which does not depend on the number of upstreams.

--- a/lib/edge/AddressClaimTest.cpp
+++ b/lib/edge/AddressClaimTest.cpp
@@ -103,3 +103,23 @@
   fixture.advance(Millis{ 200 });
   CHECK(rejectedRequests(fixture, upstreams).empty());
 }
+
+TEST_CASE("a successor is used although it is the only other upstream and the entry before stays")
+{
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(1));
+  fixture.advance(Millis{ 4000 });
+  REQUIRE(fixture.openFlow(fixture.reader(), 1) == 1);
+  REQUIRE(fixture.openFlow(fixture.follower(), 2) == 1);
+  fixture.stopHeartbeats(1);
+  fixture.advance(Millis{ 2000 });
+  registry::UpstreamRecord successor = HeartbeatFixture::record(1);
+  successor.m_identity = 2;
+  successor.m_startedAtMs = 16'000;
+  fixture.start(successor);
+  fixture.advance(Millis{ 1500 });
+  CHECK_FALSE(fixture.sendRequest(fixture.reader(), 1));
+  CHECK_FALSE(fixture.sendRequest(fixture.follower(), 2));
+  CHECK(fixture.openFlow(fixture.reader(), 3) == 2);
+  CHECK(fixture.openFlow(fixture.follower(), 4) == 2);
+}
--- a/lib/edge/HeartbeatFixture.h
+++ b/lib/edge/HeartbeatFixture.h
@@ -93,6 +93,9 @@
     m_expiry[aIdentity] = m_now + 3 * kHeartbeatInterval;
   }
 
+  /// An upstream ends without a word, and its entry never expires.
+  void stopHeartbeats(uint64_t aIdentity) { m_running.erase(aIdentity); }
+
   /// Writes an entry once, or removes it. `aMayReturn` says that it was replaced by an item that
   /// cannot be read.
   void write(const std::string& aName,
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -307,6 +307,9 @@
                                      .m_confirmedAt = m_peers.confirmedAt(),
                                      .m_loadedAt = m_loadedAt });
   const bool isStale = isLoaded() && aNow - m_peers.confirmedAt() > steering::kMaxTrustedViewAge;
+  if (isStale) {
+    m_directory.restartSilence(aNow);
+  }
   if (isStale != m_isViewStale && aNow - m_loadedAt > steering::kMaxTrustedViewAge) {
     m_isViewStale = isStale;
     logEvent(isStale ? EventId::ViewStale : EventId::ViewFresh,
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -42,8 +42,9 @@
 /// upstream has ended at the earliest.
 inline constexpr Millis kSilenceTimeout{ 2000 };
 /// Time without a renewal of any entry after which the registry, rather than an upstream, is taken
-/// to be silent.
-inline constexpr Millis kMaxRenewalGap{ 1200 };
+/// to be silent. A single upstream renews its entry every 1.2 s, and readers call the store every
+/// 0.4 s.
+inline constexpr Millis kMaxRenewalGap{ 2800 };
 /// Limit of the data centres, far above the design size. Entries that name further ones are left
 /// out, since what a directory knows of a data centre is never erased.
 inline constexpr size_t kMaxDataCentres = 256;
