[steering] Log what decides who holds an address

Cause: `upstream-ended reason=address-taken` names the other upstream, but neither how long the holder had been silent nor which process started first.

Change: `holder_unheard_ms` and `started_later_ms` in `upstream-ended reason=address-taken` and `address-conflict`. Ending the former holder was written twice, in claimAddress and resolveAddressClaims; one function does both.

--- a/lib/edge/AddressClaimTest.cpp
+++ b/lib/edge/AddressClaimTest.cpp
@@ -85,6 +85,10 @@
   const std::map<uint64_t, int> rejected = rejectedRequests(fixture, upstreams);
   REQUIRE(rejected.size() == 1);
   CHECK(rejected.begin()->first == 1);
+  const std::string verdict = fixture.lastLogged(EventId::UpstreamEnded);
+  CHECK(verdict.find("by=i-7") != std::string::npos);
+  CHECK(verdict.find("holder_unheard_ms=2") != std::string::npos);
+  CHECK(verdict.find("started_later_ms=15000") != std::string::npos);
 }
 
 TEST_CASE("an upstream that was taken for ended serves again with its next heartbeat")
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -7,6 +7,20 @@
 
 namespace tamarack::steering {
 
+namespace {
+
+/// Formats what decides a claim: how long the holder has given no sign of life, and how much later
+/// the process of the claimant started.
+std::string
+formatClaim(TimePoint aNow, const Upstream& aClaimant, const Upstream& aHolder)
+{
+  const int64_t startedLater = aClaimant.m_record.m_startedAtMs - aHolder.m_record.m_startedAtMs;
+  return " holder_unheard_ms=" + std::to_string((aNow - aHolder.m_lastSignOfLifeAt).count()) +
+         " started_later_ms=" + std::to_string(startedLater);
+}
+
+} // namespace
+
 void
 ServiceDirectory::applyRenewals(TimePoint aNow, std::span<const registry::Renewal> aRenewals)
 {
@@ -105,11 +119,7 @@
     return;
   }
   if (holder == nullptr || displaces(aUpstream, *holder)) {
-    if (holder != nullptr && holder->m_registration != RegistrationState::Ended) {
-      setUnregistered(
-        aNow, *holder, RegistrationState::Ended, "address-taken by=" + aUpstream.m_name);
-    }
-    holder = &aUpstream;
+    giveAddress(aNow, holder, aUpstream);
     return;
   }
   // While this host has seen neither entry renewed, the one that was written last is more likely to
@@ -119,7 +129,22 @@
                        aUpstream.m_renewedRevision > holder->m_renewedRevision;
   Upstream& claimant = isLater ? *std::exchange(holder, &aUpstream) : aUpstream;
   setAddressConflict(claimant, true);
-  addUpstreamEvent(EventId::AddressConflict, claimant, " held_by=" + holder->m_name);
+  addUpstreamEvent(EventId::AddressConflict,
+                   claimant,
+                   " held_by=" + holder->m_name + formatClaim(aNow, claimant, *holder));
+}
+
+void
+ServiceDirectory::giveAddress(TimePoint aNow, Upstream*& aHolder, Upstream& aClaimant)
+{
+  if (aHolder != nullptr && aHolder->m_registration != RegistrationState::Ended) {
+    setUnregistered(aNow,
+                    *aHolder,
+                    RegistrationState::Ended,
+                    "address-taken by=" + aClaimant.m_name +
+                      formatClaim(aNow, aClaimant, *aHolder));
+  }
+  aHolder = &aClaimant;
 }
 
 void
@@ -133,11 +158,7 @@
       ++index;
       continue;
     }
-    if (holder != nullptr && holder->m_registration != RegistrationState::Ended) {
-      setUnregistered(
-        aNow, *holder, RegistrationState::Ended, "address-taken by=" + claimant.m_name);
-    }
-    holder = &claimant;
+    giveAddress(aNow, holder, claimant);
     setAddressConflict(claimant, false);
   }
 }
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -285,6 +285,8 @@
                                        Upstream* aLatest) const;
   /// Makes an upstream the holder of its address, or records its claim if another one holds it.
   void claimAddress(TimePoint aNow, Upstream& aUpstream);
+  /// Makes an upstream the holder of an address; the holder before, if any, has ended.
+  void giveAddress(TimePoint aNow, Upstream*& aHolder, Upstream& aClaimant);
   /// Whether the entry of an upstream shows that the holder of its address has ended.
   [[nodiscard]] bool displaces(const Upstream& aClaimant, const Upstream& aHolder) const;
   /// Gives addresses to upstreams with a claim whose holders have ended.
