[steering] A late write of a former process takes no address from the running one

Cause: ServiceDirectory::displaces let an entry that had ever been renewed displace a holder without a renewal or a response for 2 s, also if its process had started before that of the holder. The fixture of the tests published each heartbeat.

Change: processes at one address run one after the other, so the one that started last holds it. An entry of an earlier start displaces it only if it is written three times in 2 s or more while the holder gives no sign of life, or if it stays for the time of its expiry and of the age of the records although the holder's is gone. Hosts that start order two entries in the same way. Silence restarts after a pause of the process before it is judged.

Tests: AddressClaimTest "a late write of the process before a restart resets no open flow of the running one" and the same while that one is cut off from the store fail on the code before (15 of 15 idle flows reset, 40 checks), "new flows reach a restarted upstream on a host that starts after a late write" too. "late writes of a former process in any interval reset no open flow" failed for 100 ms. The opposite, unchanged: "open flows of an upstream that crashed are reset once a successor has its address", AddressClaimsTest. The fixture forgets the expiry of an entry when its upstream starts again.

--- a/lib/edge/AddressClaimTest.cpp
+++ b/lib/edge/AddressClaimTest.cpp
@@ -40,6 +40,47 @@
   return rejected;
 }
 
+/// The entry of a process that started 15 s after upstream 1, at its address.
+registry::UpstreamRecord
+restartedRecord()
+{
+  registry::UpstreamRecord record = HeartbeatFixture::record(1);
+  record.m_identity = 7;
+  record.m_startedAtMs = 16'000;
+  return record;
+}
+
+/// Lets upstream 1 crash and start again as upstream 7, with idle flows of the callers from 200 on.
+/// The store publishes changes of entries only, and upstream 6 changes its entry all the time.
+void
+restartUpstream(HeartbeatFixture& aFixture, std::vector<uint16_t>& aIdleCallers)
+{
+  std::map<uint16_t, uint64_t> upstreams;
+  startFlows(aFixture, upstreams);
+  aFixture.publishChangesOnly(6);
+  aFixture.crash(1);
+  aFixture.advance(Millis{ 5000 });
+  aFixture.start(restartedRecord());
+  aFixture.advance(Millis{ 200 });
+  for (uint16_t caller = 200; caller < 300; ++caller) {
+    Host& host = caller % 2 == 0 ? aFixture.reader() : aFixture.follower();
+    if (aFixture.openFlow(host, caller) == 7) {
+      aIdleCallers.push_back(caller);
+    }
+  }
+  REQUIRE(aIdleCallers.size() > 2);
+}
+
+/// Number of the idle callers whose next request is not forwarded.
+int
+countRejected(HeartbeatFixture& aFixture, std::span<const uint16_t> aIdleCallers)
+{
+  return static_cast<int>(std::ranges::count_if(aIdleCallers, [&](uint16_t aCaller) {
+    Host& host = aCaller % 2 == 0 ? aFixture.reader() : aFixture.follower();
+    return !aFixture.sendRequest(host, aCaller);
+  }));
+}
+
 } // namespace
 
 TEST_CASE("an entry of another writer with the address of a running upstream resets no open flow")
@@ -127,3 +168,66 @@
   CHECK(fixture.openFlow(fixture.reader(), 3) == 2);
   CHECK(fixture.openFlow(fixture.follower(), 4) == 2);
 }
+
+TEST_CASE("a late write of the process before a restart resets no open flow of the running one")
+{
+  // The write was held up by a cut and arrives after the successor has registered.
+  for (const int delay : { 100, 1000, 2100, 3000, 5000 }) {
+    for (const int idleTime : { 100, 1500, 2500, 3500, 6000 }) {
+      CAPTURE(delay);
+      CAPTURE(idleTime);
+      HeartbeatFixture fixture;
+      std::vector<uint16_t> idleCallers;
+      restartUpstream(fixture, idleCallers);
+      fixture.advance(Millis{ delay });
+      fixture.writeLate(HeartbeatFixture::record(1));
+      fixture.advance(Millis{ idleTime });
+      CHECK(countRejected(fixture, idleCallers) == 0);
+      const uint64_t chosen = fixture.openFlow(fixture.reader(), 400);
+      CHECK((chosen != 0 && chosen != 1));
+    }
+  }
+}
+
+TEST_CASE("a late write of the process before a restart resets no open flow of the running one "
+          "while that one is cut off from the store")
+{
+  for (const int idleTime : { 100, 1500, 2500, 3500, 6000 }) {
+    CAPTURE(idleTime);
+    HeartbeatFixture fixture;
+    std::vector<uint16_t> idleCallers;
+    restartUpstream(fixture, idleCallers);
+    fixture.crash(7);
+    fixture.advance(Millis{ 4000 });
+    fixture.writeLate(HeartbeatFixture::record(1));
+    fixture.advance(Millis{ idleTime });
+    CHECK(countRejected(fixture, idleCallers) == 0);
+  }
+}
+
+TEST_CASE("late writes of a former process in any interval reset no open flow")
+{
+  for (const int interval : { 100, 1200, 2000, 2100, 2400, 2700 }) {
+    CAPTURE(interval);
+    HeartbeatFixture fixture;
+    std::vector<uint16_t> idleCallers;
+    restartUpstream(fixture, idleCallers);
+    fixture.advance(Millis{ 3000 });
+    fixture.writeLate(HeartbeatFixture::record(1));
+    fixture.advance(Millis{ interval });
+    fixture.writeLate(HeartbeatFixture::record(1));
+    fixture.advance(Millis{ 2500 });
+    CHECK(countRejected(fixture, idleCallers) == 0);
+  }
+}
+
+TEST_CASE("new flows reach a restarted upstream on a host that starts after a late write")
+{
+  // The host loads the entry of the former process, which was written last, and the other one.
+  HeartbeatFixture fixture;
+  fixture.start(restartedRecord());
+  fixture.writeLate(HeartbeatFixture::record(1));
+  fixture.advance(Millis{ 100 });
+  CHECK(fixture.openFlow(fixture.reader(), 1) == 7);
+  CHECK(fixture.openFlow(fixture.follower(), 2) == 7);
+}
--- a/lib/edge/HeartbeatFixture.h
+++ b/lib/edge/HeartbeatFixture.h
@@ -84,6 +84,7 @@
   void start(const registry::UpstreamRecord& aRecord)
   {
     m_running[aRecord.m_identity] = aRecord;
+    m_expiry.erase(aRecord.m_identity);
     write(nameOf(aRecord.m_identity), aRecord);
   }
   /// An upstream ends without a word; its entry stays until it expires after three heartbeats.
@@ -96,6 +97,17 @@
   /// An upstream ends without a word, and its entry never expires.
   void stopHeartbeats(uint64_t aIdentity) { m_running.erase(aIdentity); }
 
+  /// A write of a process that has gone reaches the store; the entry stays until it expires.
+  void writeLate(const registry::UpstreamRecord& aRecord)
+  {
+    write(nameOf(aRecord.m_identity), aRecord);
+    m_expiry[aRecord.m_identity] = m_now + 3 * kHeartbeatInterval;
+  }
+
+  /// From now on, the store publishes an entry when it changes, and not at each heartbeat. Only the
+  /// entry of one upstream changes, with each heartbeat.
+  void publishChangesOnly(uint64_t aChangingUpstream) { m_changingUpstream = aChangingUpstream; }
+
   /// Writes an entry once, or removes it. `aMayReturn` says that it was replaced by an item that
   /// cannot be read.
   void write(const std::string& aName,
@@ -241,12 +253,15 @@
     if (!m_isStoreUp) {
       return;
     }
-    for (const auto& [identity, entry] : m_running) {
+    for (auto& [identity, entry] : m_running) {
       // Upstreams send their heartbeats at different times.
       const Millis phase = kTestTick * static_cast<int64_t>(identity * 5 % 12);
-      if ((m_now.time_since_epoch() + phase) % kHeartbeatInterval == Millis{}) {
-        write(nameOf(identity), entry);
+      const bool isDue = (m_now.time_since_epoch() + phase) % kHeartbeatInterval == Millis{};
+      if (!isDue || (m_changingUpstream && identity != *m_changingUpstream)) {
+        continue;
       }
+      entry.m_slots += m_changingUpstream ? 1 : 0;
+      write(nameOf(identity), entry);
     }
     std::erase_if(m_expiry, [this](const auto& aEntry) {
       const bool isDue = m_now >= aEntry.second;
@@ -282,6 +297,8 @@
   std::vector<registry::Change> m_written;
   std::map<uint64_t, registry::UpstreamRecord> m_running;
   std::map<uint64_t, TimePoint> m_expiry;
+  /// The only upstream whose heartbeats are published, if set.
+  std::optional<uint64_t> m_changingUpstream;
   /// The open flow of each caller, by its port.
   std::map<uint16_t, Flow> m_flows;
   std::set<uint16_t> m_resets;
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -327,6 +327,8 @@
 void
 Host::tick(TimePoint aNow)
 {
+  // After a pause of this process the records are old, and silence restarts before it is judged.
+  refreshView(aNow);
   m_directory.tick(aNow);
   m_bootstrap.start(
     aNow, m_peers.hasOtherSeeds() && m_directory.mechanisms().isEnabled(Mechanism::PeerBootstrap));
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -1,6 +1,10 @@
-// Decides which upstream holds an address that several entries of the registry name. The later
-// entry may be that of a successor, or of another writer that does not own the address. The holder
-// has ended if its entry is gone, or is no longer renewed while the other one is.
+// Decides which upstream holds an address that several entries of the registry name: a successor, a
+// former process whose last write arrived late, or another writer that does not own the address.
+//
+// Processes at one address run one after the other, so the one that started last is the successor.
+// It gets the address unless the holder has just given a sign of life. The registry need not
+// publish heartbeats that change nothing, so the silence of an entry that stands does not show that
+// its process has ended, and never gives an address back to a process that started earlier.
 #include "steering/ServiceDirectory.h"
 
 #include <algorithm>
@@ -40,6 +44,11 @@
     upstream.m_renewedRevision = renewal.m_revision;
     upstream.m_isRenewed = true;
     upstream.m_lastSignOfLifeAt = aNow;
+    if (upstream.m_hasAddressConflict) {
+      upstream.m_firstClaimWriteAt =
+        upstream.m_claimWrites++ == 0 ? aNow : upstream.m_firstClaimWriteAt;
+      upstream.m_lastClaimWriteAt = aNow;
+    }
     if (upstream.m_registration == RegistrationState::Ended && !upstream.m_heldRecord) {
       // The holder of the address was silent for a while, but its entry was never removed.
       updateUpstream(aNow, upstream, registry::UpstreamRecord(upstream.m_record));
@@ -60,8 +69,6 @@
 bool
 ServiceDirectory::isSilent(const Upstream& aUpstream) const
 {
-  // Renewals arrive in the order in which they were written, so that of this entry would have
-  // arrived by the time of the latest one.
   return m_lastRenewalAt - std::max(aUpstream.m_lastSignOfLifeAt, m_silenceSince) >=
          kSilenceTimeout;
 }
@@ -104,10 +111,30 @@
   if (!aHolder.m_service->isNamed()) {
     return true;
   }
-  const bool isSuccessor =
-    aClaimant.m_isRenewed || aClaimant.m_record.m_startedAtMs >= aHolder.m_record.m_startedAtMs;
-  return isSuccessor && aClaimant.m_renewedRevision > aHolder.m_renewedRevision &&
-         (aHolder.m_registration != RegistrationState::Registered || isSilent(aHolder));
+  const int64_t startedLater = aClaimant.m_record.m_startedAtMs - aHolder.m_record.m_startedAtMs;
+  if (startedLater < 0) {
+    return isEarlierProcessAlive(aClaimant, aHolder);
+  }
+  const bool isLater = startedLater > 0 || aClaimant.m_renewedRevision > aHolder.m_renewedRevision;
+  return isLater && (aHolder.m_registration != RegistrationState::Registered || isSilent(aHolder));
+}
+
+bool
+ServiceDirectory::isEarlierProcessAlive(const Upstream& aEarlier, const Upstream& aHolder) const
+{
+  const TimePoint writtenSince =
+    std::max({ aEarlier.m_firstClaimWriteAt, aHolder.m_lastSignOfLifeAt, m_silenceSince });
+  if (aEarlier.m_claimWrites >= kMinClaimWrites &&
+      aEarlier.m_lastClaimWriteAt - writtenSince >= kMinClaimWriteSpan) {
+    return true;
+  }
+  if (!aEarlier.m_hasAddressConflict || aHolder.m_registration == RegistrationState::Registered) {
+    return false;
+  }
+  // A host hears of the removal of an entry late by the age of its records at most.
+  const TimePoint heardAt =
+    std::max({ aEarlier.m_claimedAt, aEarlier.m_lastClaimWriteAt, m_silenceSince });
+  return m_lastTick - heardAt >= kEntryExpiryTime + kMaxTrustedViewAge;
 }
 
 void
@@ -122,13 +149,15 @@
     giveAddress(aNow, holder, aUpstream);
     return;
   }
-  // While this host has seen neither entry renewed, the one that was written last is more likely to
-  // belong to a running upstream.
+  // While this host has seen neither entry renewed, the one of the process that started last, or
+  // that was written last, is more likely to belong to a running upstream.
+  const auto order = [](const Upstream& aEntry) {
+    return std::pair(aEntry.m_record.m_startedAtMs, aEntry.m_renewedRevision);
+  };
   const bool isLater = !holder->m_isRenewed && !aUpstream.m_isRenewed &&
-                       aUpstream.m_service->isNamed() &&
-                       aUpstream.m_renewedRevision > holder->m_renewedRevision;
+                       aUpstream.m_service->isNamed() && order(aUpstream) > order(*holder);
   Upstream& claimant = isLater ? *std::exchange(holder, &aUpstream) : aUpstream;
-  setAddressConflict(claimant, true);
+  setAddressConflict(aNow, claimant, true);
   addUpstreamEvent(EventId::AddressConflict,
                    claimant,
                    " held_by=" + holder->m_name + formatClaim(aNow, claimant, *holder));
@@ -159,7 +188,7 @@
       continue;
     }
     giveAddress(aNow, holder, claimant);
-    setAddressConflict(claimant, false);
+    setAddressConflict(aNow, claimant, false);
   }
 }
 
@@ -189,23 +218,25 @@
 }
 
 void
-ServiceDirectory::releaseAddress(Upstream& aUpstream)
+ServiceDirectory::releaseAddress(TimePoint aNow, Upstream& aUpstream)
 {
   const auto holder =
     m_upstreamByAddress.find(addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port));
   if (holder != m_upstreamByAddress.end() && holder->second == &aUpstream) {
     m_upstreamByAddress.erase(holder);
   }
-  setAddressConflict(aUpstream, false);
+  setAddressConflict(aNow, aUpstream, false);
 }
 
 void
-ServiceDirectory::setAddressConflict(Upstream& aUpstream, bool aHasConflict)
+ServiceDirectory::setAddressConflict(TimePoint aNow, Upstream& aUpstream, bool aHasConflict)
 {
   if (aUpstream.m_hasAddressConflict == aHasConflict) {
     return;
   }
   aUpstream.m_hasAddressConflict = aHasConflict;
+  aUpstream.m_claimedAt = aNow;
+  aUpstream.m_claimWrites = 0;
   aUpstream.m_service->m_areOpenUpstreamsStale = true;
   if (aHasConflict) {
     m_addressClaimants.push_back(&aUpstream);
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -335,7 +335,7 @@
                           aUpstream.m_record.m_state != UpstreamState::Draining;
   if (addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port) !=
       addressKey(aRecord.m_address, aRecord.m_port)) {
-    releaseAddress(aUpstream);
+    releaseAddress(aNow, aUpstream);
   }
   aUpstream.m_record = aRecord;
   aUpstream.m_dataCentre = &findOrAddDataCentre(aRecord.m_dataCentre);
@@ -432,7 +432,7 @@
     }
   }
   for (Upstream* upstream : expired) {
-    eraseUpstream(*upstream);
+    eraseUpstream(aNow, *upstream);
   }
   if (!expired.empty()) {
     eraseUnusedServices();
@@ -457,7 +457,7 @@
 }
 
 void
-ServiceDirectory::eraseUpstream(Upstream& aUpstream)
+ServiceDirectory::eraseUpstream(TimePoint aNow, Upstream& aUpstream)
 {
   const auto eraseIfMapped = [&aUpstream](auto& aMap, const auto& aKey) {
     const auto found = aMap.find(aKey);
@@ -467,7 +467,7 @@
   };
   eraseIfMapped(m_upstreamByToken, aUpstream.m_token.m_value);
   eraseIfMapped(m_upstreamByName, aUpstream.m_name);
-  releaseAddress(aUpstream);
+  releaseAddress(aNow, aUpstream);
   std::erase(aUpstream.m_service->m_upstreams, &aUpstream);
   aUpstream.m_service->m_areOpenUpstreamsStale = true;
   std::erase_if(m_upstreams,
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -27,24 +27,33 @@
 /// missing afterwards. A running upstream registers again within two seconds of the return of the
 /// store.
 inline constexpr Millis kLapseGracePeriod{ 2500 };
+/// Time for which the entry of an upstream that is gone stays in the registry at most: it expires
+/// after three heartbeats of 1.2 s. An entry that remains for longer belongs to a running upstream.
+inline constexpr Millis kEntryExpiryTime{ 4000 };
 /// Time after which an entry that contradicts the known state is accepted after the store was
-/// restored from a backup. It covers three heartbeats of 1.2 s: nobody renews the entry of an
-/// upstream that is gone, so an entry that remains for that long belongs to a running upstream.
-inline constexpr Millis kRestoredRecordHoldTime{ 4000 };
+/// restored from a backup.
+inline constexpr Millis kRestoredRecordHoldTime = kEntryExpiryTime;
+/// Number of writes by which an upstream shows that it runs, although another one with its address
+/// started later, and the least time between the first and the last of them. Writes of a process
+/// that is gone arrive together, when the connection that held them up works again.
+inline constexpr int kMinClaimWrites = 3;
+inline constexpr Millis kMinClaimWriteSpan{ 2000 };
 /// Time for which a data centre stays out of service when a restored store lost the order that took
 /// it out. Operators give the order again in that time.
 inline constexpr Millis kDataCentreOutHoldTime{ 10'000 };
 /// Time for which the token of an upstream that is gone is kept. Flows older than this may be
 /// dropped.
 inline constexpr Millis kTokenRetention{ 60'000 };
-/// Time without a sign of life after which an upstream counts as silent although the registry still
-/// holds its entry. Heartbeats are 1.2 s apart, and an address is assigned again 2 s after its
-/// upstream has ended at the earliest.
+/// Time without a sign of life after which the entry of an upstream no longer keeps its address
+/// from a successor. An address is assigned again 2 s after its upstream has ended at the earliest.
 inline constexpr Millis kSilenceTimeout{ 2000 };
 /// Time without a renewal of any entry after which the registry, rather than an upstream, is taken
 /// to be silent. A single upstream renews its entry every 1.2 s, and readers call the store every
 /// 0.4 s.
 inline constexpr Millis kMaxRenewalGap{ 2800 };
+/// Maximum age of the registry view at which a host still reports that a route or an upstream does
+/// not exist.
+inline constexpr Millis kMaxTrustedViewAge{ 2500 };
 /// Limit of the data centres, far above the design size. Entries that name further ones are left
 /// out, since what a directory knows of a data centre is never erased.
 inline constexpr size_t kMaxDataCentres = 256;
@@ -96,6 +105,12 @@
   /// Another upstream holds the address of this one, so this one gets no flows; see
   /// ServiceDirectory::resolveAddressClaims.
   bool m_hasAddressConflict{};
+  /// Time since which m_hasAddressConflict is set.
+  TimePoint m_claimedAt;
+  /// Number of writes of the entry since m_claimedAt, with the times of the first and the last one.
+  int m_claimWrites{};
+  TimePoint m_firstClaimWriteAt;
+  TimePoint m_lastClaimWriteAt;
   /// End of the cold start of the upstream.
   TimePoint m_coldUntil;
   PassiveHealth m_health;
@@ -223,7 +238,8 @@
   /// The revisions of the registry start anew.
   void resetRevisions();
   /// Whether the upstream has given no sign of life for kSilenceTimeout while other entries were
-  /// renewed.
+  /// renewed. A running upstream without callers on this host may be silent: the registry need not
+  /// publish heartbeats that change nothing.
   [[nodiscard]] bool isSilent(const Upstream& aUpstream) const;
   /// Returns the evidence of failure of an upstream that bears on its open flows. That of SYNs does
   /// so once the entry of the upstream is gone or silent as well. Evidence is void by its age,
@@ -289,14 +305,18 @@
   void giveAddress(TimePoint aNow, Upstream*& aHolder, Upstream& aClaimant);
   /// Whether the entry of an upstream shows that the holder of its address has ended.
   [[nodiscard]] bool displaces(const Upstream& aClaimant, const Upstream& aHolder) const;
+  /// Whether the entry of an upstream shows that its process still runs, although the holder of its
+  /// address started later: it is written again and again while the holder gives no sign of life,
+  /// or stays although that of the holder is gone and its own would have expired.
+  [[nodiscard]] bool isEarlierProcessAlive(const Upstream& aEarlier, const Upstream& aHolder) const;
   /// Gives addresses to upstreams with a claim whose holders have ended.
   void resolveAddressClaims(TimePoint aNow);
   /// Gives a token to an upstream that was refused it, once its holder has ended or turned out to
   /// be a copy of the entry by another writer.
   void resolveTokenConflicts();
   /// Gives up the address of an upstream, or its claim to it.
-  void releaseAddress(Upstream& aUpstream);
-  void setAddressConflict(Upstream& aUpstream, bool aHasConflict);
+  void releaseAddress(TimePoint aNow, Upstream& aUpstream);
+  void setAddressConflict(TimePoint aNow, Upstream& aUpstream, bool aHasConflict);
   void updateUpstream(TimePoint aNow, Upstream& aUpstream, const registry::UpstreamRecord& aRecord);
   void setUnregistered(TimePoint aNow,
                        Upstream& aUpstream,
@@ -316,7 +336,7 @@
   void removeRouteTerms(const Route& aRoute);
   void updateGovernance(Service& aService) const;
   void indexToken(Upstream& aUpstream);
-  void eraseUpstream(Upstream& aUpstream);
+  void eraseUpstream(TimePoint aNow, Upstream& aUpstream);
   void addUpstreamEvent(EventId aEvent, const Upstream& aUpstream, std::string aExtraFields = {});
 
   std::string m_dataCentre;
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -15,9 +15,6 @@
 
 namespace tamarack::steering {
 
-/// Maximum age of the registry view at which a host still reports that a route or an upstream does
-/// not exist.
-inline constexpr Millis kMaxTrustedViewAge{ 2500 };
 /// Time after the first load of the registry during which packets with an unknown token are dropped
 /// rather than reset: entries that lapsed in the meantime may be registered again. During that
 /// time, requests on flows to upstreams that ended before the host started get no answer.
