[steering] The silence of an entry that stands is no evidence against open flows

Open flows of a full upstream were reset for unanswered SYNs, and an idle caller that came back 4 s after a cut was reset.

A running upstream is silent on a host that hears none of its responses, since the store does not publish heartbeats that change nothing.

Change: such evidence bears on open flows once the entry is gone, which takes three heartbeats. So that a request to an upstream that has died is rejected at once however late it comes, evidence is void after 3.8 s instead of 3 s: by then its entry has expired.

Tests, both with a store that publishes changes only: FullUpstreamTest "requests on open flows are not reset while their upstream is full and its entry does not change" and EvidenceAgeTest "a caller that was idle during a cut is served after it although the entry of the upstream does not change" fail on the code before. The opposite in both kinds of store: "requests that an upstream had acknowledged before it died are reset within four seconds", "a request to an upstream that has died is rejected at once, however late it comes".

What it costs: a request that an upstream had acknowledged before it died, with no copy of a request on any host, waits for the removal of the entry (3.6 s) instead of 2 s of silence; 2.5 s longer if the store was disturbed.

--- a/lib/edge/EvidenceAgeTest.cpp
+++ b/lib/edge/EvidenceAgeTest.cpp
@@ -16,9 +16,13 @@
 class EvidenceFixture : public HeartbeatFixture
 {
 public:
-  EvidenceFixture()
+  /// `aPublishesHeartbeats` says whether the store publishes heartbeats that change nothing.
+  explicit EvidenceFixture(bool aPublishesHeartbeats = true)
   {
     start(record(1));
+    if (!aPublishesHeartbeats) {
+      publishChangesOnly(2);
+    }
     advance(Millis{ 4000 });
     for (const uint16_t caller : { kIdleCaller, kSecondIdleCaller }) {
       REQUIRE(openFlow(reader(), caller) == 1);
@@ -66,6 +70,20 @@
   CHECK(fixture.resets().contains(kSecondIdleCaller) == false);
 }
 
+TEST_CASE(
+  "a caller that was idle during a cut is served after it although the entry of the upstream "
+  "does not change")
+{
+  // The store does not publish heartbeats that change nothing, while the entry of upstream 2
+  // changes.
+  EvidenceFixture fixture(false);
+  CHECK(fixture.loseRequests());
+  fixture.advance(Millis{ 4000 });
+  CHECK(fixture.sendRequest(fixture.reader(), kSecondIdleCaller));
+  fixture.acknowledgeResponse(fixture.reader(), kSecondIdleCaller);
+  CHECK(fixture.resets().contains(kSecondIdleCaller) == false);
+}
+
 TEST_CASE("a caller is served after a cut although the store answers nobody")
 {
   // The silence of the store says nothing of the upstream.
@@ -78,12 +96,14 @@
 
 TEST_CASE("a request to an upstream that has died is rejected at once, however late it comes")
 {
-  for (const int waited : { 100, 1000, 2000, 3000, 4000, 8000, 30'000 }) {
-    EvidenceFixture fixture;
-    fixture.crash(1);
-    CHECK(fixture.loseRequests());
-    fixture.advance(Millis{ waited });
-    CHECK_FALSE(fixture.sendRequest(fixture.reader(), kSecondIdleCaller));
+  for (const bool publishesHeartbeats : { true, false }) {
+    for (const int waited : { 100, 1000, 2000, 3000, 4000, 8000, 30'000 }) {
+      EvidenceFixture fixture(publishesHeartbeats);
+      fixture.crash(1);
+      CHECK(fixture.loseRequests());
+      fixture.advance(Millis{ waited });
+      CHECK_FALSE(fixture.sendRequest(fixture.reader(), kSecondIdleCaller));
+    }
   }
 }
 
--- a/lib/edge/FullUpstreamTest.cpp
+++ b/lib/edge/FullUpstreamTest.cpp
@@ -13,10 +13,14 @@
 class CrowdFixture : public HeartbeatFixture
 {
 public:
-  CrowdFixture()
+  /// `aPublishesHeartbeats` says whether the store publishes heartbeats that change nothing.
+  explicit CrowdFixture(bool aPublishesHeartbeats = true)
   {
     start(record(1));
     advance(Millis{ 2000 });
+    if (!aPublishesHeartbeats) {
+      publishChangesOnly(2);
+    }
     for (uint16_t user = 1; user <= 2 * kUsers; ++user) {
       REQUIRE(openFlow(hostOf(user), user) == 1);
       CHECK(sendRequest(hostOf(user), user));
@@ -109,6 +113,20 @@
   }
 }
 
+TEST_CASE(
+  "requests on open flows are not reset while their upstream is full and its entry does not "
+  "change")
+{
+  // The store does not publish heartbeats that change nothing, while the entry of upstream 2
+  // changes.
+  CrowdFixture fixture(false);
+  for (uint16_t user = 1; user <= 2 * kUsers; ++user) {
+    CHECK(fixture.sendRequest(fixture.hostOf(user), user));
+  }
+  fixture.pressUnanswered(Millis{ 3500 });
+  CHECK(fixture.resets().empty());
+}
+
 TEST_CASE("new flows avoid an upstream that answers no SYN")
 {
   CrowdFixture fixture;
@@ -122,14 +140,16 @@
 
 TEST_CASE("requests that an upstream had acknowledged before it died are reset within four seconds")
 {
-  // Their callers have nothing to retransmit. SYNs are unanswered, and the entry is silent.
-  CrowdFixture fixture;
-  for (uint16_t user = 1; user <= 2 * kUsers; ++user) {
-    CHECK(fixture.sendRequest(fixture.hostOf(user), user));
+  // Their callers have nothing to retransmit. SYNs are unanswered, and the entry expires.
+  for (const bool publishesHeartbeats : { true, false }) {
+    CrowdFixture fixture(publishesHeartbeats);
+    for (uint16_t user = 1; user <= 2 * kUsers; ++user) {
+      CHECK(fixture.sendRequest(fixture.hostOf(user), user));
+    }
+    fixture.crash(1);
+    fixture.pressUnanswered(Millis{ 4000 });
+    CHECK(fixture.resets().size() == 2 * kUsers);
   }
-  fixture.crash(1);
-  fixture.pressUnanswered(Millis{ 4000 });
-  CHECK(fixture.resets().size() == 2 * kUsers);
 }
 
 TEST_CASE("a request to an upstream that has died is reset at its second copy at the latest")
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -77,14 +77,13 @@
 ServiceDirectory::flowEvidence(TimePoint aNow, const Upstream& aUpstream) const
 {
   const PassiveHealth& health = aUpstream.m_health;
-  const bool isUnheard =
-    aUpstream.m_registration >= RegistrationState::Missing || isSilent(aUpstream);
+  const bool isUnregistered = aUpstream.m_registration >= RegistrationState::Missing;
   const auto isValid = [&](TimePoint aLastAt) {
     return aNow - aLastAt <= kEvidenceLifetime ||
-           (isUnheard && aLastAt >= aUpstream.m_lastSignOfLifeAt);
+           (isUnregistered && aLastAt >= aUpstream.m_lastSignOfLifeAt);
   };
   return (isValid(health.lastEvidenceAt()) ? health.evidence() : 0) +
-         (isUnheard && isValid(health.lastSynEvidenceAt()) ? health.synEvidence() : 0);
+         (isUnregistered && isValid(health.lastSynEvidenceAt()) ? health.synEvidence() : 0);
 }
 
 bool
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -30,9 +30,10 @@
 /// Evidence, in nats, that the report of another host adds. Reports of three hosts reach
 /// kFailureEvidence.
 inline constexpr double kPeerReportEvidence = 3.0;
-/// Time after which evidence of an upstream that is still heard elsewhere is void. A cut between
-/// this host and the upstream may have ended since, and idle callers send nothing that shows it.
-inline constexpr Millis kEvidenceLifetime{ 3000 };
+/// Time after which evidence of an upstream whose entry stands is void. A cut between this host and
+/// the upstream may have ended since, and idle callers send nothing that shows it. Until then, the
+/// entry of an upstream that has died has expired: that takes three heartbeats of 1.2 s.
+inline constexpr Millis kEvidenceLifetime{ 3800 };
 /// Number of reporting hosts that are remembered per upstream.
 inline constexpr size_t kMaxReporters = 4;
 /// Minimum time between the first evidence and the failure decision, so that one lost batch of
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -242,8 +242,8 @@
   /// publish heartbeats that change nothing.
   [[nodiscard]] bool isSilent(const Upstream& aUpstream) const;
   /// Returns the evidence of failure of an upstream that bears on its open flows. That of SYNs does
-  /// so once the entry of the upstream is gone or silent as well. Evidence is void by its age,
-  /// unless the upstream has given no sign of life since and its entry is gone or silent.
+  /// so once the entry of the upstream is gone as well. Evidence is void by its age, unless the
+  /// upstream has given no sign of life since and its entry is gone.
   [[nodiscard]] double flowEvidence(TimePoint aNow, const Upstream& aUpstream) const;
   /// Whether open flows of the upstream should be given up for lack of responses.
   [[nodiscard]] bool hasFailed(TimePoint aNow, const Upstream& aUpstream) const;
