[edge] Tests that removed and restored entries end no living upstream

Two tests keep the opposite: requests to an upstream that died are rejected from its second lost request on, and a request that acknowledges an old response does not count as an answer.

--- /dev/null
+++ b/lib/edge/WronglyEndedTest.cpp
@@ -0,0 +1,367 @@
+// Tests through whole hosts that open flows of a living upstream are not reset because its entry
+// was removed, replaced or restored from a backup, or has not arrived yet, and that flows of an
+// upstream that has ended are reset all the same.
+#include "edge/FleetFixture.h"
+#include "edge/HeartbeatFixture.h"
+
+using namespace tamarack;
+using namespace tamarack::edge;
+
+namespace {
+
+constexpr Millis kRequestInterval{ 300 };
+/// A running upstream registers again at most this long after it reaches the store again.
+constexpr Millis kReturnTime{ 1900 };
+/// The flow of each caller leads to the upstream with this identity.
+using Flows = std::map<uint16_t, uint64_t>;
+
+/// The first half of the callers uses the reader, the second half the follower.
+constexpr uint16_t kCallersPerHost = 40;
+
+Host&
+hostOf(HeartbeatFixture& aFixture, uint16_t aCaller)
+{
+  return aCaller <= kCallersPerHost ? aFixture.reader() : aFixture.follower();
+}
+
+Flows
+openFlows(HeartbeatFixture& aFixture)
+{
+  Flows flows;
+  for (uint16_t caller = 1; caller <= 2 * kCallersPerHost; ++caller) {
+    flows[caller] = aFixture.openFlow(hostOf(aFixture, caller), caller);
+    REQUIRE(flows[caller] != 0);
+  }
+  return flows;
+}
+
+/// Sends a request on each flow and acknowledges its response; returns the number of requests that
+/// were not forwarded, by upstream.
+std::map<uint64_t, int>
+rejectedRequests(HeartbeatFixture& aFixture, const Flows& aFlows)
+{
+  std::map<uint64_t, int> rejected;
+  for (const auto& [caller, identity] : aFlows) {
+    Host& host = hostOf(aFixture, caller);
+    if (aFixture.sendRequest(host, caller)) {
+      aFixture.acknowledgeResponse(host, caller);
+    } else {
+      ++rejected[identity];
+    }
+  }
+  return rejected;
+}
+
+/// Checks for `aTime` that all requests on the flows are forwarded and no flow is reset.
+void
+checkServed(HeartbeatFixture& aFixture, const Flows& aFlows, Millis aTime)
+{
+  for (const TimePoint end = aFixture.m_now + aTime; aFixture.m_now < end;) {
+    aFixture.advance(kRequestInterval);
+    CHECK(rejectedRequests(aFixture, aFlows).empty());
+    CHECK(aFixture.resets().empty());
+  }
+}
+
+registry::UpstreamRecord
+drainingRecord(uint64_t aIdentity)
+{
+  registry::UpstreamRecord record = HeartbeatFixture::record(aIdentity);
+  record.m_state = registry::UpstreamState::Draining;
+  return record;
+}
+
+registry::UpstreamRecord
+recordOfProcess(uint64_t aIdentity, int64_t aStartedAtMs)
+{
+  registry::UpstreamRecord record = HeartbeatFixture::record(aIdentity);
+  record.m_startedAtMs = aStartedAtMs;
+  return record;
+}
+
+/// A store that was restored from a backup and begins history 1. The hosts of a HeartbeatFixture
+/// follow it from then on.
+class RestoredStore
+{
+public:
+  RestoredStore(HeartbeatFixture& aFixture, const std::vector<registry::UpstreamRecord>& aEntries)
+    : m_fixture(aFixture)
+    , m_restoredAt(aFixture.m_now)
+  {
+    m_fixture.m_isStoreUp = false;
+    registry::StoreUpdate update{ .m_revision = { 1, ++m_number }, .m_isSnapshot = true };
+    for (const registry::UpstreamRecord& entry : aEntries) {
+      update.m_changes.push_back(
+        { { registry::RecordKind::Upstream, HeartbeatFixture::nameOf(entry.m_identity) },
+          { 1, m_number },
+          entry });
+    }
+    answer(update);
+  }
+
+  void write(uint64_t aIdentity, const std::optional<registry::UpstreamRecord>& aRecord)
+  {
+    registry::Change change{ .m_key = { registry::RecordKind::Upstream,
+                                        HeartbeatFixture::nameOf(aIdentity) },
+                             .m_revision = { 1, ++m_number },
+                             .m_record = std::nullopt };
+    if (aRecord) {
+      change.m_record = *aRecord;
+    }
+    answer({ .m_revision = { 1, m_number }, .m_changes = { change } });
+  }
+
+private:
+  void answer(const registry::StoreUpdate& aUpdate)
+  {
+    // Removals that a host learns of within 4 s of the restore may be due to it.
+    const bool isDisturbed = m_fixture.m_now - m_restoredAt < Millis{ 4000 };
+    m_fixture.reader().onStoreAnswer(m_fixture.m_now, aUpdate, isDisturbed, m_fixture.m_now);
+    const auto delta = registry::decodeDelta(registry::encodeDelta(
+      m_fixture.reader().registry().changesSince(m_fixture.follower().registry().deltaBase())));
+    REQUIRE(delta.ok());
+    m_fixture.follower().onDifference(m_fixture.m_now, *delta, HostId{ 0x0a400001 });
+    m_fixture.follower().peers().onStoreConfirmation(m_fixture.m_now);
+    REQUIRE(m_fixture.follower().registry().appliedRevision() == aUpdate.m_revision);
+  }
+
+  HeartbeatFixture& m_fixture;
+  TimePoint m_restoredAt;
+  uint64_t m_number{ 1 };
+};
+
+/// Upstream 1, alone in its service, with a flow of each caller. Callers have sent enough requests
+/// that the first retransmission of a request counts 1.96 nats. Upstream 2, of another service, is
+/// there for its heartbeats.
+class CutOffFixture : public HeartbeatFixture
+{
+public:
+  CutOffFixture()
+  {
+    registry::UpstreamRecord other = record(2);
+    other.m_service = "manuals";
+    start(other);
+    start(record(1));
+    advance(Millis{ 4000 });
+    m_flows = openFlows(*this);
+    checkServed(*this, m_flows, kRequestInterval);
+  }
+
+  /// The upstream does not reach the store until its entry expires. Its flows are served.
+  void cutOffFromStore()
+  {
+    crash(1);
+    checkServed(*this, m_flows, 3 * kHeartbeatInterval + kRequestInterval);
+    REQUIRE(upstream().m_registration == steering::RegistrationState::Missing);
+  }
+
+  [[nodiscard]] const steering::Upstream& upstream()
+  {
+    const steering::Upstream* const upstream =
+      reader().directory().findUpstream(steering::makeToken(1, 1000));
+    REQUIRE(upstream != nullptr);
+    return *upstream;
+  }
+
+  /// The request of a caller is lost, and forwarded when it is sent again.
+  void loseRequest(uint16_t aCaller)
+  {
+    REQUIRE(sendRequest(reader(), aCaller));
+    advance(Millis{ 200 });
+    CHECK(sendRequest(reader(), aCaller));
+  }
+
+  Flows m_flows;
+};
+
+} // namespace
+
+TEST_CASE("only flows of the process before a restart are reset")
+{
+  // Guards against resets of the flows that the new process has opened since.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.start(recordOfProcess(1, 1000));
+  fixture.advance(Millis{ 4000 });
+  const Flows earlier = openFlows(fixture);
+  fixture.start(recordOfProcess(1, 9000));
+  fixture.advance(kTestTick);
+  std::map<uint64_t, int> rejected = rejectedRequests(fixture, earlier);
+  CHECK(rejected[1] > 0);
+  CHECK(rejected[2] == 0);
+  checkServed(fixture, openFlows(fixture), Millis{ 8000 });
+}
+
+TEST_CASE("a restarted upstream is used although its clock went back")
+{
+  // Guards against an upstream that stays unused because it seems to have started earlier.
+  HeartbeatFixture fixture;
+  fixture.start(recordOfProcess(1, 9000));
+  fixture.advance(Millis{ 4000 });
+  REQUIRE(fixture.openFlow(fixture.reader(), 1) == 1);
+  registry::UpstreamRecord restarted = recordOfProcess(1, 1000);
+  restarted.m_address = Ipv4{ 0x0a8000ff };
+  fixture.start(restarted);
+  fixture.advance(Millis{ 4500 });
+  CHECK_FALSE(fixture.sendRequest(fixture.reader(), 1));
+  for (Host* const host : { &fixture.reader(), &fixture.follower() }) {
+    const steering::Upstream* const upstream =
+      host->directory().findUpstream(steering::makeToken(1, 1000));
+    REQUIRE(upstream != nullptr);
+    CHECK(upstream->acceptsNewFlows());
+    CHECK(upstream->m_record.m_address == restarted.m_address);
+  }
+}
+
+TEST_CASE("flows of a draining upstream are served while its entry may have lapsed with the store")
+{
+  // Guards against taking an entry that expired while the store was down for an exit.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(1));
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  fixture.start(drainingRecord(1));
+  checkServed(fixture, flows, Millis{ 5000 });
+  fixture.stopHeartbeats(1);
+  fixture.write(HeartbeatFixture::nameOf(1), std::nullopt, true);
+  checkServed(fixture, flows, kReturnTime);
+  fixture.start(drainingRecord(1));
+  checkServed(fixture, flows, Millis{ 6000 });
+  // It leaves in the end.
+  fixture.stopHeartbeats(1);
+  fixture.write(HeartbeatFixture::nameOf(1), std::nullopt);
+  fixture.advance(kTestTick);
+  std::map<uint64_t, int> rejected = rejectedRequests(fixture, flows);
+  CHECK(rejected[1] > 0);
+  CHECK(rejected[2] == 0);
+}
+
+TEST_CASE("flows of a draining upstream that was cut off from the store are served once it is back")
+{
+  // Guards against a verdict on a draining upstream that outlasts the cut.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(1));
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  fixture.start(drainingRecord(1));
+  fixture.advance(Millis{ 1300 });
+  fixture.crash(1);
+  fixture.advance(3 * kHeartbeatInterval + kReturnTime);
+  fixture.start(drainingRecord(1));
+  fixture.advance(kTestTick);
+  CHECK(rejectedRequests(fixture, flows).empty());
+}
+
+TEST_CASE("a store restored from a backup resets no flow of a running upstream")
+{
+  // Guards against resets by entries that are missing, outdated or of an earlier process.
+  HeartbeatFixture fixture;
+  for (uint64_t identity = 1; identity <= 3; ++identity) {
+    fixture.start(HeartbeatFixture::record(identity));
+  }
+  fixture.start(recordOfProcess(4, 9000));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  fixture.start(drainingRecord(2));
+  fixture.start(drainingRecord(3));
+  checkServed(fixture, flows, Millis{ 2400 });
+  RestoredStore store(
+    fixture,
+    { HeartbeatFixture::record(1), HeartbeatFixture::record(2), recordOfProcess(4, 1000) });
+  checkServed(fixture, flows, kReturnTime);
+  store.write(2, drainingRecord(2));
+  store.write(3, drainingRecord(3));
+  store.write(4, recordOfProcess(4, 9000));
+  checkServed(fixture, flows, Millis{ 8000 });
+  CHECK(fixture.countLogged(EventId::UpstreamEnded) == 0);
+  // The restored store still shows that an upstream leaves.
+  store.write(2, std::nullopt);
+  fixture.advance(kTestTick);
+  CHECK(fixture.countLogged(EventId::UpstreamEnded) == 2);
+}
+
+TEST_CASE("a restored entry of the former holder of an address resets no flow of its successor")
+{
+  // Guards against a former holder that takes its address back with an entry of the backup.
+  for (const bool isFormerKnown : { true, false }) {
+    HeartbeatFixture fixture;
+    registry::UpstreamRecord former = HeartbeatFixture::record(1);
+    former.m_identity = 7;
+    fixture.start(HeartbeatFixture::record(2));
+    if (isFormerKnown) {
+      fixture.start(former);
+      fixture.advance(Millis{ 4000 });
+      fixture.crash(7);
+      fixture.advance(3 * kHeartbeatInterval);
+    }
+    fixture.start(recordOfProcess(1, 16'000));
+    fixture.advance(Millis{ 4000 });
+    const Flows flows = openFlows(fixture);
+    const size_t ended = fixture.countLogged(EventId::UpstreamEnded);
+    RestoredStore store(fixture, { HeartbeatFixture::record(2), former });
+    checkServed(fixture, flows, kReturnTime);
+    store.write(1, recordOfProcess(1, 16'000));
+    checkServed(fixture, flows, 3 * kHeartbeatInterval - kReturnTime);
+    store.write(7, std::nullopt);
+    checkServed(fixture, flows, Millis{ 8000 });
+    CHECK(fixture.countLogged(EventId::UpstreamEnded) == ended);
+  }
+}
+
+TEST_CASE("an entry that is replaced by one that names no service resets no flow")
+{
+  // Guards against taking the entry of another writer for a restart.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(1));
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  registry::UpstreamRecord foreign = recordOfProcess(1, 16'000);
+  foreign.m_service = "kilnlog-test";
+  fixture.write(HeartbeatFixture::nameOf(1), foreign);
+  checkServed(fixture, flows, Millis{ 8000 });
+}
+
+TEST_CASE("requests to an upstream that died are rejected from its second lost request on")
+{
+  // Guards against callers that are left with an upstream that has died.
+  for (const bool isMissing : { false, true }) {
+    CutOffFixture fixture;
+    fixture.crash(1);
+    if (isMissing) {
+      fixture.advance(3 * kHeartbeatInterval + kTestTick);
+    }
+    for (const uint16_t caller : { 1, 2 }) {
+      REQUIRE(fixture.sendRequest(fixture.reader(), caller));
+    }
+    fixture.advance(Millis{ 200 });
+    CHECK(fixture.sendRequest(fixture.reader(), 1));
+    CHECK(fixture.sendRequest(fixture.reader(), 2) == !isMissing);
+    CHECK(fixture.sendRequest(fixture.reader(), 3) == !isMissing);
+  }
+}
+
+TEST_CASE("a request of a flow that used another host does not show that a dead upstream answers")
+{
+  // Its acknowledgement number covers responses from before the crash.
+  CutOffFixture fixture;
+  for (uint16_t caller = 11; caller <= 14; ++caller) {
+    REQUIRE(fixture.sendRequest(fixture.follower(), caller));
+    fixture.acknowledgeResponse(fixture.follower(), caller);
+  }
+  fixture.crash(1);
+  fixture.advance(3 * kHeartbeatInterval + kTestTick);
+  for (const uint16_t caller : { 1, 2 }) {
+    REQUIRE(fixture.sendRequest(fixture.reader(), caller));
+  }
+  fixture.advance(Millis{ 200 });
+  CHECK(fixture.sendRequest(fixture.reader(), 1));
+  for (uint16_t caller = 11; caller <= 14; ++caller) {
+    (void)fixture.sendRequest(fixture.reader(), caller);
+    fixture.closeFlow(fixture.reader(), caller);
+  }
+  CHECK_FALSE(fixture.sendRequest(fixture.reader(), 2));
+  CHECK_FALSE(fixture.sendRequest(fixture.reader(), 3));
+}
