[steering] A late write of the process before a restart does not end the current one

Callers saw resets on open flows of a running upstream. An upstream restarts under its name, and a write of the earlier process reaches the store after the first one of the new process. Hosts took the process that started earlier for a restart: the new one was "restarted", hence Ended, and its flows were reset until its next heartbeat replaced the entry.

An entry with an earlier start time than the known one is now held, as entries of a restored store are, for kRestoredRecordHoldTime. It applies only if nothing else is written for that long while the registry is not disturbed, so an upstream whose clock went back is still used.

With the change edge_test passes (86 cases), and steering_test (107 cases).

--- a/lib/edge/WronglyEndedTest.cpp
+++ b/lib/edge/WronglyEndedTest.cpp
@@ -176,6 +176,56 @@
 
 } // namespace
 
+TEST_CASE("a late write of the process before a restart resets no flow of the current process")
+{
+  // Guards against taking the process that started last for the earlier one.
+  for (const bool isRenewed : { true, false }) {
+    for (const bool isDraining : { true, false }) {
+      HeartbeatFixture fixture;
+      fixture.start(HeartbeatFixture::record(2));
+      fixture.start(recordOfProcess(1, 1000));
+      fixture.advance(Millis{ 4000 });
+      const Flows earlier = openFlows(fixture);
+      fixture.start(recordOfProcess(1, 9000));
+      fixture.advance(Millis{ 300 });
+      std::map<uint64_t, int> rejected = rejectedRequests(fixture, earlier);
+      CHECK(rejected[1] > 0);
+      CHECK(rejected[2] == 0);
+      const Flows flows = openFlows(fixture);
+      const size_t ended = fixture.countLogged(EventId::UpstreamEnded);
+      if (!isRenewed) {
+        fixture.stopHeartbeats(1);
+      }
+      registry::UpstreamRecord late = recordOfProcess(1, 1000);
+      late.m_state =
+        isDraining ? registry::UpstreamState::Draining : registry::UpstreamState::Ready;
+      fixture.write(HeartbeatFixture::nameOf(1), late);
+      checkServed(fixture, flows, 3 * kHeartbeatInterval);
+      fixture.write(HeartbeatFixture::nameOf(1), std::nullopt);
+      checkServed(fixture, flows, kReturnTime);
+      fixture.start(recordOfProcess(1, 9000));
+      checkServed(fixture, flows, Millis{ 6000 });
+      CHECK(fixture.countLogged(EventId::UpstreamEnded) == ended);
+    }
+  }
+}
+
+TEST_CASE("a late write before the store goes down resets no flow of the current process")
+{
+  // Guards against taking the entry for valid because nobody could replace it.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.start(recordOfProcess(1, 9000));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  fixture.write(HeartbeatFixture::nameOf(1), recordOfProcess(1, 1000));
+  fixture.advance(kTestTick);
+  fixture.m_isStoreUp = false;
+  checkServed(fixture, flows, Millis{ 9000 });
+  fixture.m_isStoreUp = true;
+  checkServed(fixture, flows, Millis{ 6000 });
+}
+
 TEST_CASE("only flows of the process before a restart are reset")
 {
   // Guards against resets of the flows that the new process has opened since.
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -181,25 +181,39 @@
   if (known != nullptr && aChange.m_isRestored && holdRestoredRecord(aNow, *known, record)) {
     return;
   }
+  if (known != nullptr && known->m_service->isNamed() && record.m_startedAtMs != 0 &&
+      record.m_startedAtMs < known->m_record.m_startedAtMs) {
+    // A late write of the process before a restart. The current process writes its entry again.
+    known->m_heldRecord = record;
+    known->m_heldSince = aNow;
+    return;
+  }
+  applyUpstreamRecord(aNow, aChange, known);
+}
+
+void
+ServiceDirectory::applyUpstreamRecord(TimePoint aNow, const Change& aChange, Upstream* aKnown)
+{
+  const auto& record = std::get<UpstreamRecord>(*aChange.m_record);
   if (!hasRoomFor(record.m_dataCentre)) {
     if (!std::exchange(m_isLimitLogged, true)) {
       m_events.push_back({ EventId::RecordRefused,
                            "item=\"" + aChange.m_key.m_name + ": more than " +
                              std::to_string(kMaxDataCentres) + " data centres\"" });
     }
-    if (known != nullptr && known->m_registration == RegistrationState::Registered) {
-      setUnregistered(aNow, *known, RegistrationState::Missing, "entry-replaced");
+    if (aKnown != nullptr && aKnown->m_registration == RegistrationState::Registered) {
+      setUnregistered(aNow, *aKnown, RegistrationState::Missing, "entry-replaced");
     }
     return;
   }
-  Upstream* const instance = findInstance(aChange.m_key.m_name, record, known);
-  if (known != nullptr && known != instance) {
+  Upstream* const instance = findInstance(aChange.m_key.m_name, record, aKnown);
+  if (aKnown != nullptr && aKnown != instance) {
     // An entry of a service that no configuration names was written by another writer. It replaces
     // the entry of the upstream, but does not show that the upstream has restarted.
     if (findOrAddService(record.m_service).isNamed()) {
-      setUnregistered(aNow, *known, RegistrationState::Ended, "restarted");
-    } else if (known->m_registration == RegistrationState::Registered) {
-      setUnregistered(aNow, *known, RegistrationState::Missing, "entry-replaced");
+      setUnregistered(aNow, *aKnown, RegistrationState::Ended, "restarted");
+    } else if (aKnown->m_registration == RegistrationState::Registered) {
+      setUnregistered(aNow, *aKnown, RegistrationState::Missing, "entry-replaced");
     }
   }
   if (instance != nullptr) {
@@ -255,11 +269,25 @@
 void
 ServiceDirectory::releaseHeldRecords(TimePoint aNow)
 {
+  std::vector<Upstream*> due;
   for (const auto& upstream : m_upstreams) {
-    if (upstream->m_heldRecord && aNow - upstream->m_heldSince >= kRestoredRecordHoldTime) {
-      const UpstreamRecord record = *std::exchange(upstream->m_heldRecord, std::nullopt);
-      updateUpstream(aNow, *upstream, record);
+    if (!upstream->m_heldRecord) {
+      continue;
     }
+    // While the registry is disturbed, a running upstream cannot write its entry again.
+    const bool isEarlierProcess =
+      upstream->m_heldRecord->m_startedAtMs < upstream->m_record.m_startedAtMs;
+    const TimePoint since =
+      isEarlierProcess ? std::max(upstream->m_heldSince, m_silenceSince) : upstream->m_heldSince;
+    if (aNow - since >= kRestoredRecordHoldTime) {
+      due.push_back(upstream.get());
+    }
+  }
+  for (Upstream* const upstream : due) {
+    const Change change{ .m_key = { RecordKind::Upstream, upstream->m_name },
+                         .m_revision = upstream->m_renewedRevision,
+                         .m_record = *std::exchange(upstream->m_heldRecord, std::nullopt) };
+    applyUpstreamRecord(aNow, change, upstream);
   }
   absl::erase_if(m_outHoldExpiry, [&](const auto& aEntry) {
     const bool isDue = aNow >= aEntry.second;
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -30,8 +30,8 @@
 /// Time for which the entry of an upstream that is gone stays in the registry at most: it expires
 /// after three heartbeats of 1.2 s. An entry that remains for longer belongs to a running upstream.
 inline constexpr Millis kEntryExpiryTime{ 4000 };
-/// Time after which an entry that contradicts the known state is accepted after the store was
-/// restored from a backup.
+/// Time after which an entry that contradicts the known state is accepted: one that came with a
+/// store restored from a backup, or one of a process that started earlier.
 inline constexpr Millis kRestoredRecordHoldTime = kEntryExpiryTime;
 /// Number of writes by which an upstream shows that it runs, although another one with its address
 /// started later, and the least time between the first and the last of them. Writes of a process
@@ -127,9 +127,9 @@
   bool m_isDataCentreOut{};
   /// Another upstream with the same token takes precedence; this one gets no flows.
   bool m_hasTokenConflict{};
-  /// An entry of a restored store that says that the upstream is running, although it drained or
-  /// left. Applied at m_heldSince + kRestoredRecordHoldTime, unless another change of the upstream
-  /// comes first.
+  /// An entry that contradicts the known state: one of a restored store that says that the upstream
+  /// is running, although it drained or left, or one of a process that started earlier. Applied at
+  /// m_heldSince + kRestoredRecordHoldTime, unless another change of the upstream comes first.
   std::optional<registry::UpstreamRecord> m_heldRecord;
   TimePoint m_heldSince;
 
@@ -272,8 +272,8 @@
   [[nodiscard]] bool needsRemoteUpstreams() const;
   /// Returns whether any other data centre is unreachable according to the packets of callers.
   [[nodiscard]] bool isAnyDataCentreUnreachable() const;
-  /// Returns the number of entries and operator orders that are held back after the store was
-  /// restored.
+  /// Returns the number of entries and operator orders that are held back because they contradict
+  /// the known state, most of them after the store was restored.
   [[nodiscard]] size_t heldRecordCount() const;
   [[nodiscard]] const Mechanisms& mechanisms() const { return m_mechanisms; }
   /// Returns the changes since the last call.
@@ -286,6 +286,9 @@
   void applyDataCentre(TimePoint aNow, const registry::Change& aChange);
   void setDataCentreOut(TimePoint aNow, const std::string& aName, bool aIsOut);
   void applyUpstream(TimePoint aNow, const registry::Change& aChange);
+  /// Applies a change that holds a record. `aKnown` is the latest process instance under its name,
+  /// or null.
+  void applyUpstreamRecord(TimePoint aNow, const registry::Change& aChange, Upstream* aKnown);
   /// Checks an entry of a restored store against the known state. Returns whether it must not be
   /// applied now: it is held back, or belongs to an earlier process instance.
   bool holdRestoredRecord(TimePoint aNow,
