[steering] An entry without the start time is no restart of the upstream that it names

Callers saw resets on open flows of a running upstream after another writer had replaced its entry by one without `born`. The start time is read as 0, which makes the entry one of another process, so hosts took the upstream for restarted.

Such an entry is now held like one with an earlier start time. The upstream replaces it with its next heartbeat. If nobody does for kRestoredRecordHoldTime, it applies as before.

On the code before, WronglyEndedTest: an entry without the start time resets no flow of the upstream that it names ERROR: CHECK( rejectedRequests(aFixture, aFlows).empty() ) is NOT correct! With the change edge_test passes (87 cases), and steering_test (107 cases).

--- a/lib/edge/WronglyEndedTest.cpp
+++ b/lib/edge/WronglyEndedTest.cpp
@@ -263,6 +263,18 @@
   }
 }
 
+TEST_CASE("an entry without the start time resets no flow of the upstream that it names")
+{
+  // Guards against taking an entry of another writer for a restart of the upstream.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(1));
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  fixture.write(HeartbeatFixture::nameOf(1), recordOfProcess(1, 0));
+  checkServed(fixture, flows, Millis{ 8000 });
+}
+
 TEST_CASE("flows of a draining upstream are served while its entry may have lapsed with the store")
 {
   // Guards against taking an entry that expired while the store was down for an exit.
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -181,9 +181,10 @@
   if (known != nullptr && aChange.m_isRestored && holdRestoredRecord(aNow, *known, record)) {
     return;
   }
-  if (known != nullptr && known->m_service->isNamed() && record.m_startedAtMs != 0 &&
+  if (known != nullptr && known->m_service->isNamed() &&
       record.m_startedAtMs < known->m_record.m_startedAtMs) {
-    // A late write of the process before a restart. The current process writes its entry again.
+    // A late write of the process before a restart, or an entry of another writer without the start
+    // time. The current process writes its entry again.
     known->m_heldRecord = record;
     known->m_heldSince = aNow;
     return;
