[steering] Responses clear the evidence against an upstream whose entry was removed

Callers saw resets on open flows of an upstream that was cut off from the store only, although it answered them. Once the entry of an upstream is removed, hosts added evidence of lost packets but no longer noted responses. So two packets lost one after the other added up to kSuspectEvidence although a response came between them, and the evidence stayed valid from then on, since flowEvidence measures its age from the last sign of life. Unanswered SYNs of a crowd before the removal did the same.

A response that a caller acknowledges without payload now counts as one, as for a registered upstream. A request with payload does not: a caller that comes from another host acknowledges with it a response from before a crash. Upstreams that ended are reset as before.

--- a/lib/edge/WronglyEndedTest.cpp
+++ b/lib/edge/WronglyEndedTest.cpp
@@ -386,6 +386,41 @@
   checkServed(fixture, flows, Millis{ 8000 });
 }
 
+TEST_CASE("packets lost one after the other reset no flow of an upstream that is cut off from the "
+          "store")
+{
+  // Guards against evidence that the responses after it do not clear.
+  CutOffFixture fixture;
+  fixture.cutOffFromStore();
+  for (uint16_t caller = 1; caller <= 6; ++caller) {
+    fixture.loseRequest(caller);
+    fixture.acknowledgeResponse(fixture.reader(), caller);
+    checkServed(fixture, fixture.m_flows, kRequestInterval);
+  }
+  CHECK(fixture.resets().empty());
+}
+
+TEST_CASE("a crowd before the cut resets no flow once an upstream cut off from the store answers")
+{
+  CutOffFixture fixture;
+  fixture.crash(1);
+  checkServed(fixture, fixture.m_flows, Millis{ 3300 });
+  for (uint16_t caller = 1; caller <= 4; ++caller) {
+    REQUIRE(fixture.sendRequest(fixture.reader(), caller));
+  }
+  // The upstream has no room for another flow, and answers requests.
+  REQUIRE(fixture.sendSyn(fixture.reader(), 200) == 1);
+  fixture.advance(Millis{ 200 });
+  REQUIRE(fixture.sendSyn(fixture.reader(), 200, kFeedPort, 1) == 1);
+  fixture.advance(Millis{ 200 });
+  REQUIRE(fixture.upstream().m_registration == steering::RegistrationState::Missing);
+  REQUIRE(fixture.upstream().m_health.synEvidence() > steering::kSuspectEvidence);
+  for (uint16_t caller = 1; caller <= 4; ++caller) {
+    fixture.acknowledgeResponse(fixture.reader(), caller);
+  }
+  checkServed(fixture, fixture.m_flows, Millis{ 3000 });
+}
+
 TEST_CASE("requests to an upstream that died are rejected from its second lost request on")
 {
   // Guards against callers that are left with an upstream that has died.
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -321,6 +321,12 @@
     if (observation.m_evidence > 0) {
       recordRetransmission(aNow, aPacket, *upstream, observation.m_evidence);
     }
+    // A caller sends an acknowledgement without payload when a response arrives. A request may
+    // acknowledge one that it got through another host before the upstream died.
+    if (observation.m_isResponseAcknowledged && aPacket.m_length == 0 && !aPacket.m_isFinOrRst &&
+        upstream->m_registration == RegistrationState::Missing) {
+      recordResponse(aNow, aPacket, *upstream);
+    }
     return handleUnregistered(aNow, aPacket, flow, *upstream);
   }
   return handleRegistered(aNow, aPacket, flow, *upstream, observation);
