[steering] Reports of a data centre that is cut off reset no open flows elsewhere

Cause: each report of another host adds 3 nats, and three reach kFailureEvidence (9), whatever the reporters have in common. Hosts of one data centre lose their path to an upstream together. A host without a response acknowledged by a caller of its own since the reports has nothing that contradicts them.

Change: evidence has to be corroborated by this host or by a host nearby (in the data centre of this host or of the upstream) before hasFailed gives up open flows of an upstream whose entry is renewed. Reports add as much evidence as before and keep new flows away as before. If the entry is gone or silent, reports alone suffice. A report of a host nearby counts also after four hosts elsewhere have reported. A reporter that the peer table does not hold counts as elsewhere. No message changes.

Conclusion: a cut between two data centres no longer costs open flows in a third one or in that of the upstream. Three hosts nearby whose own links are at fault can still do so.

--- a/lib/dissemination/PeerTable.h
+++ b/lib/dissemination/PeerTable.h
@@ -101,6 +101,11 @@
     const auto found = m_peers.find(aHost);
     return found == m_peers.end() ? nullptr : &found->second;
   }
+  [[nodiscard]] const Peer* find(HostId aHost) const
+  {
+    const auto found = m_peers.find(aHost);
+    return found == m_peers.end() ? nullptr : &found->second;
+  }
   [[nodiscard]] Map::iterator begin() { return m_peers.begin(); }
   [[nodiscard]] Map::iterator end() { return m_peers.end(); }
   [[nodiscard]] Map::const_iterator begin() const { return m_peers.begin(); }
--- a/lib/dissemination/PeerTracker.h
+++ b/lib/dissemination/PeerTracker.h
@@ -220,6 +220,12 @@
   [[nodiscard]] size_t freshReaders(TimePoint aNow) const;
   /// Returns the number of known hosts.
   [[nodiscard]] size_t size() const { return m_peers.size(); }
+  /// Returns the data centre of a host; empty if the host is not known.
+  [[nodiscard]] std::string_view dataCentreOf(HostId aHost) const
+  {
+    const Peer* const peer = m_peers.find(aHost);
+    return peer == nullptr ? std::string_view{} : std::string_view(peer->m_dataCentre);
+  }
 
 private:
   /// Processes a host that another host has advertised.
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -237,7 +237,8 @@
   bool isNew = false;
   switch (aObservation.m_signal) {
     case dissemination::HealthSignal::Unresponsive:
-      isNew = upstream->m_health.onPeerReport(aNow, aObservation.m_reporter);
+      isNew = upstream->m_health.onPeerReport(
+        aNow, aObservation.m_reporter, isNearby(aObservation.m_reporter, *upstream));
       break;
     case dissemination::HealthSignal::Recovered:
       isNew = upstream->m_health.onResponse(aNow);
@@ -267,6 +268,14 @@
   }
 }
 
+bool
+Host::isNearby(HostId aHost, const steering::Upstream& aUpstream) const
+{
+  const std::string_view dataCentre = m_peers.dataCentreOf(aHost);
+  return !dataCentre.empty() &&
+         (dataCentre == m_dataCentre || dataCentre == aUpstream.m_dataCentre->m_name);
+}
+
 void
 Host::collectHealthReports()
 {
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -178,6 +178,8 @@
   void updateWithdrawal(TimePoint aNow);
   /// Turns new flow events that show a change of an upstream's health into pending observations.
   void collectHealthReports();
+  /// Whether another host is known to be in the data centre of this host or of an upstream.
+  [[nodiscard]] bool isNearby(HostId aHost, const steering::Upstream& aUpstream) const;
   /// Applies an observation of another host. A reader passes it on if it was new.
   void onObservation(TimePoint aNow, const dissemination::HealthReport& aObservation);
 
--- a/lib/edge/PeerReportTest.cpp
+++ b/lib/edge/PeerReportTest.cpp
@@ -91,6 +91,18 @@
     return reporting;
   }
 
+  /// The second host of "near" reports upstream 1 to the first one.
+  void sendReportOfNeighbour()
+  {
+    auto status = dissemination::decodeStatus(follower().makeStatus(m_now));
+    REQUIRE(status.ok());
+    const steering::Token token = steering::makeToken(1, record(1).m_startedAtMs);
+    status->m_healthReports = {
+      { token.m_value, dissemination::HealthSignal::Unresponsive, status->m_sender }
+    };
+    (void)reader().onStatus(m_now, *status);
+  }
+
   /// Advances until the flow of a caller is reset, for at most `aTime`. Returns the time that it
   /// took, or nothing.
   std::optional<Millis> timeToReset(uint16_t aCaller, Millis aTime)
@@ -203,3 +215,23 @@
     }
   }
 }
+
+TEST_CASE("a report of a host nearby counts although four hosts elsewhere reported before")
+{
+  // Guards against losing the only report that decides at the limit of remembered reporters.
+  PeerReportFixture fixture("near");
+  fixture.crash(1);
+  CHECK(fixture.sendRequest(fixture.reader(), kWaitingCaller));
+  CHECK(fixture.loseRequestsOfReporters() == kReporters);
+  fixture.sendReportOfNeighbour();
+  CHECK(fixture.timeToReset(kWaitingCaller, Millis{ 1000 }) == Millis{ 100 });
+}
+
+TEST_CASE("reports of a data centre that is cut off keep new flows away")
+{
+  PeerReportFixture fixture("near");
+  CHECK(fixture.loseRequestsOfReporters() >= 3);
+  for (uint16_t caller = 1000; caller < 1020; ++caller) {
+    CHECK(fixture.sendSyn(fixture.reader(), caller) != 1);
+  }
+}
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -94,7 +94,11 @@
     return false;
   }
   const bool isLasting = aNow - health.firstEvidenceAt() >= kMinFailureSpan;
-  return isLasting && flowEvidence(aNow, aUpstream) >= kFailureEvidence;
+  if (!isLasting || flowEvidence(aNow, aUpstream) < kFailureEvidence) {
+    return false;
+  }
+  // Hosts elsewhere may be cut off from an upstream that this host reaches.
+  return health.isCorroborated() || aUpstream.m_registration >= RegistrationState::Missing;
 }
 
 bool
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -5,7 +5,8 @@
 //
 // Requests and SYNs are evidence of different things. An upstream that holds as many flows as it
 // can answers no SYN, but serves the flows that it holds, so unanswered SYNs alone are no reason to
-// give up established flows.
+// give up established flows. The same holds for reports of hosts that share neither the data centre
+// of this host nor that of the upstream, since they may be cut off from the upstream together.
 #pragma once
 
 #include "base/Types.h"
@@ -61,6 +62,7 @@
   {
     const bool wasReached = evidenceAt(aNow) >= kSuspectEvidence;
     addEvidence(aNow, aSurprisal);
+    m_isCorroborated = true;
     const bool isReached = !wasReached && m_evidence >= kSuspectEvidence;
     return startAvoidanceIfSuspect(aNow) || isReached;
   }
@@ -104,16 +106,23 @@
   }
 
   /// Records that another host reported missing responses. Returns whether this is the first such
-  /// report of that host since the last response; reports may arrive more than once.
-  bool onPeerReport(TimePoint aNow, HostId aReporter)
+  /// report of that host since the last response, or the first one that corroborates the evidence;
+  /// reports may arrive more than once. `aIsNearby` says that the reporter is in the data centre of
+  /// this host or of the upstream.
+  bool onPeerReport(TimePoint aNow, HostId aReporter, bool aIsNearby = true)
   {
     const bool isCurrent = aNow - m_lastEvidenceAt <= kEvidenceLifetime;
     const auto known = m_reporters.begin() + m_reporterCount;
-    if (isCurrent && (m_reporterCount == kMaxReporters ||
-                      std::find(m_reporters.begin(), known, aReporter) != known)) {
+    if (isCurrent && std::find(m_reporters.begin(), known, aReporter) != known) {
       return false;
     }
+    if (isCurrent && m_reporterCount == kMaxReporters) {
+      const bool isFirstNearby = aIsNearby && !m_isCorroborated;
+      m_isCorroborated = m_isCorroborated || aIsNearby;
+      return isFirstNearby;
+    }
     addEvidence(aNow, kPeerReportEvidence);
+    m_isCorroborated = m_isCorroborated || aIsNearby;
     m_reporters[m_reporterCount++] = aReporter;
     m_avoidedUntil = std::max(m_avoidedUntil, aNow + kInitialAvoidanceTime);
     return true;
@@ -132,6 +141,8 @@
   /// Evidence of established flows, and of SYNs, since the last response.
   [[nodiscard]] double evidence() const { return m_evidence; }
   [[nodiscard]] double synEvidence() const { return m_synEvidence; }
+  /// Whether some of the evidence of established flows comes from this host or from one nearby.
+  [[nodiscard]] bool isCorroborated() const { return m_isCorroborated; }
   /// Time of the first of the evidence of established flows.
   [[nodiscard]] TimePoint firstEvidenceAt() const { return m_firstEvidenceAt; }
   /// Times of the latest evidence of each kind; the epoch if there is none.
@@ -172,6 +183,7 @@
     if (evidenceAt(aNow) == 0) {
       m_evidence = 0;
       m_reporterCount = 0;
+      m_isCorroborated = false;
       m_firstEvidenceAt = aNow;
     }
     m_evidence += aEvidence;
@@ -187,6 +199,8 @@
   /// entries are set.
   std::array<HostId, kMaxReporters> m_reporters{};
   uint32_t m_reporterCount{};
+  /// See isCorroborated(); valid while m_evidence is not 0.
+  bool m_isCorroborated{};
   /// Valid while m_evidence is not 0.
   TimePoint m_firstEvidenceAt;
   TimePoint m_lastEvidenceAt;
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -245,7 +245,9 @@
   /// so once the entry of the upstream is gone as well. Evidence is void by its age, unless the
   /// upstream has given no sign of life since and its entry is gone.
   [[nodiscard]] double flowEvidence(TimePoint aNow, const Upstream& aUpstream) const;
-  /// Whether open flows of the upstream should be given up for lack of responses.
+  /// Whether open flows of the upstream should be given up for lack of responses. While the entry
+  /// of the upstream stands, this takes evidence of this host or of one nearby; see
+  /// PassiveHealth::isCorroborated.
   [[nodiscard]] bool hasFailed(TimePoint aNow, const Upstream& aUpstream) const;
   /// Ends grace periods and hold times, and erases upstreams whose token retention has ended.
   void tick(TimePoint aNow);
