[edge] An exception from a deferred packet no longer ends the process

What users would have seen: a host that starts ends again while it loads its records, and the flows that reach it have to be sent through another host. No such case was reported; the path had only been read.

Cause: packets that arrive before the records are loaded are deferred and decided on later, from the timer or from an answer of the store. Arriving packets are handled inside catchAndLog(), deferred ones were not, so an exception from one of them left io_context::run() and the process exited with an error. When the records came from another host, the exception was caught there, and the remaining deferred packets were lost. No packet of the platform's format is known that throws; what remains are failed allocations and faults not yet found.

Change: both kinds of packets go through EdgeDaemon::handlePacket(), which abandons and logs only the packet that throws.

The other work of the timer and of store answers is still not guarded.

--- a/lib/edge/EdgeDaemon.h
+++ b/lib/edge/EdgeDaemon.h
@@ -219,7 +219,7 @@
   {
     if (m_host.directory().routes() > 0 && !m_deferredPackets.empty()) {
       for (const std::vector<uint8_t>& datagram : std::exchange(m_deferredPackets, {})) {
-        onPacket(datagram);
+        handlePacket(datagram);
       }
       m_packetSocket.flush();
     }
@@ -227,9 +227,8 @@
       return;
     }
     m_isServing = true;
-    m_packetSocket.startReceiving(
-      [this](auto aDatagram) { catchAndLog(m_host, "packet", [&] { onPacket(aDatagram); }); },
-      [this](bool aIsAllRead) { onReceiveBatchEnd(aIsAllRead); });
+    m_packetSocket.startReceiving([this](auto aDatagram) { handlePacket(aDatagram); },
+                                  [this](bool aIsAllRead) { onReceiveBatchEnd(aIsAllRead); });
   }
 
   /// Called after each batch of packets; `aIsAllRead` says that the socket buffer is empty.
@@ -244,6 +243,12 @@
     }
   }
 
+  /// Handles an arriving or deferred packet. An exception abandons only this packet.
+  void handlePacket(std::span<const uint8_t> aDatagram)
+  {
+    catchAndLog(m_host, "packet", [&] { onPacket(aDatagram); });
+  }
+
   void onPacket(std::span<const uint8_t> aDatagram)
   {
     const TimePoint now = readClock();
