[daemon] One probe report that cannot be read does not discard the others

What users would have seen: while the probe process and the balancer process of a native host are of different builds, a report that the balancer cannot read in each round of probes leaves all upstreams that this host probes without reports. After kReportTimeout (3 s) they count as lost and get no new flows from a service whose other prober does not report either. No such case was reported; the path had only been read. The probe process of the same build writes no such report, because parseHealthResponse() already turns an odd health response into a failed probe.

Cause: parseReports() returned an error for the whole list as soon as one report could not be read, and neither process logged it.

Change: a report that cannot be read is left out and its error returned beside the others; the balancer logs the number of them and the first error, at most once per second after a burst of eight lines. A list that is malformed, nested too deeply or no array is refused as a whole, as before.

The existing cases pass the new argument; "{}" and an empty list of errors are checked in addition. The log line was not run.

The list of probe targets, in the other direction, is still refused as a whole.

--- a/lib/daemon/BalancerDaemon.cpp
+++ b/lib/daemon/BalancerDaemon.cpp
@@ -258,7 +258,8 @@
 transport::Response
 BalancerDaemon::receiveReports(const transport::Request& aRequest)
 {
-  const auto reports = parseReports(aRequest.m_body);
+  std::vector<std::string> errors;
+  const auto reports = parseReports(aRequest.m_body, errors);
   if (!reports.ok()) {
     return { .m_status = 400, .m_body = std::string(reports.status().message()) + "\n" };
   }
@@ -267,6 +268,11 @@
     m_node.onProbeResult(now, report);
   }
   sendFrames(now);
+  if (!errors.empty() && m_invalidReportLogLimit.tryAcquire(now)) {
+    logging::logEvent(EventId::MessageFailed,
+                      "probe process: reports left out: " + std::to_string(errors.size()) +
+                        ", the first: " + errors.front());
+  }
   return { .m_status = 200 };
 }
 
--- a/lib/daemon/BalancerDaemon.h
+++ b/lib/daemon/BalancerDaemon.h
@@ -3,6 +3,7 @@
 // endpoint.
 #pragma once
 
+#include "base/RateLimiter.h"
 #include "daemon/HostConfig.h"
 #include "daemon/PacketForwarder.h"
 #include "daemon/PeerConnections.h"
@@ -11,6 +12,11 @@
 
 namespace tamarack::daemon {
 
+/// Rate limit of log lines about probe reports that cannot be read: lines per second, and the
+/// burst.
+inline constexpr double kInvalidReportLinesPerSecond = 1;
+inline constexpr double kInvalidReportLineBurst = 8;
+
 class BalancerDaemon
 {
 public:
@@ -55,6 +61,9 @@
   TimePoint m_stoppingSince;
   /// When Node completed the planned stop; zero before.
   TimePoint m_leftAt;
+  /// Limits the log lines about probe reports that cannot be read, which may come with every round
+  /// of probes.
+  RateLimiter m_invalidReportLogLimit{ kInvalidReportLinesPerSecond, kInvalidReportLineBurst };
   /// Number of received frames that could not be decoded.
   uint64_t m_malformedFrames{};
   /// Receives the frames of other hosts.
--- a/lib/daemon/DaemonTest.cpp
+++ b/lib/daemon/DaemonTest.cpp
@@ -76,11 +76,14 @@
   REQUIRE(targets->size() == 1);
   CHECK((*targets)[0].m_upstream == makeTarget().m_upstream);
   const auto report = parseHealthResponse(makeTarget(), makeHealthResponse(2, "cold"));
-  const auto reports = parseReports(serializeReports({ report }));
+  std::vector<std::string> errors;
+  const auto reports = parseReports(serializeReports({ report }), errors);
   REQUIRE(reports.ok());
   CHECK((*reports)[0] == report);
   CHECK_FALSE(parseTargets("[{}]").ok());
-  CHECK_FALSE(parseReports("nonsense").ok());
+  CHECK_FALSE(parseReports("nonsense", errors).ok());
+  CHECK_FALSE(parseReports("{}", errors).ok());
+  CHECK(errors.empty());
 }
 
 TEST_CASE("health responses and messages of the probe with odd numbers or nesting are rejected")
@@ -99,5 +102,30 @@
     CHECK_FALSE(parseHealthResponse(makeTarget(), text).m_answered);
   }
   CHECK_FALSE(parseTargets(nested).ok());
-  CHECK_FALSE(parseReports(nested).ok());
+  std::vector<std::string> errors;
+  CHECK_FALSE(parseReports(nested, errors).ok());
+}
+
+TEST_CASE("one probe report that cannot be read does not discard the reports of other upstreams")
+{
+  const auto good = parseHealthResponse(makeTarget(), makeHealthResponse(2, "warm"));
+  auto other = good;
+  other.m_upstream = settings::makeUpstreamId("feed", "f2", Ipv4{ 0x0a000002 }, 1);
+  for (const std::string& odd : { std::string("1e300"),
+                                  std::string("-1"),
+                                  std::string("4294967308"),
+                                  std::string("0.5"),
+                                  std::string("null"),
+                                  std::string("[[[]]]") }) {
+    std::string text = serializeReports({ good, good, other });
+    const size_t position = text.find(R"("connections":12)", text.find('}'));
+    REQUIRE(position != std::string::npos);
+    text.replace(position, 16, R"("connections":)" + odd);
+    std::vector<std::string> errors;
+    const auto reports = parseReports(text, errors);
+    REQUIRE(reports.ok());
+    CHECK(*reports == std::vector<admission::UpstreamReport>{ good, other });
+    REQUIRE(errors.size() == 1);
+    CHECK(errors.front().size() < 400);
+  }
 }
--- a/lib/daemon/ProbeMessages.cpp
+++ b/lib/daemon/ProbeMessages.cpp
@@ -84,17 +84,26 @@
 }
 
 absl::StatusOr<std::vector<admission::UpstreamReport>>
-parseReports(std::string_view aText)
+parseReports(std::string_view aText, std::vector<std::string>& aErrors)
 {
-  std::vector<admission::UpstreamReport> reports;
+  Json list;
   try {
-    for (const Json& json : parseJson(aText)) {
-      reports.push_back(reportFromJson(json));
-    }
+    list = parseJson(aText);
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError("invalid list of probe reports: " +
                                       boundedText(error.what()));
   }
+  if (!list.is_array()) {
+    return absl::InvalidArgumentError("invalid list of probe reports: is not an array");
+  }
+  std::vector<admission::UpstreamReport> reports;
+  for (const Json& json : list) {
+    try {
+      reports.push_back(reportFromJson(json));
+    } catch (const std::exception& error) {
+      aErrors.push_back("invalid probe report: " + boundedText(error.what()));
+    }
+  }
   return reports;
 }
 
--- a/lib/daemon/ProbeMessages.h
+++ b/lib/daemon/ProbeMessages.h
@@ -20,8 +20,11 @@
 [[nodiscard]] std::string
 serializeReports(const std::vector<admission::UpstreamReport>& aReports);
 
+/// Parses a list of probe reports. A report that cannot be read is left out, and its error is added
+/// to `aErrors`: the two processes of a host may be of different builds, and the other upstreams
+/// must keep their reports.
 [[nodiscard]] absl::StatusOr<std::vector<admission::UpstreamReport>>
-parseReports(std::string_view aText);
+parseReports(std::string_view aText, std::vector<std::string>& aErrors);
 
 /// Parses the response body of a health endpoint: `{"service", "upstream", "generation", "run",
 /// "state": "warm" | "cold" | "draining", "sheds", "connections", "busy_slots"}`. A malformed
