--- a/lib/edge/WronglyEndedTest.cpp
+++ b/lib/edge/WronglyEndedTest.cpp
@@ -462,3 +462,126 @@
   CHECK_FALSE(fixture.sendRequest(fixture.reader(), 2));
   CHECK_FALSE(fixture.sendRequest(fixture.reader(), 3));
 }
+
+// KNOWN-RED.txt, entry 15.
+TEST_CASE("a burst of lost packets resets no flow of an upstream that is cut off from the store" *
+          doctest::may_fail())
+{
+  CutOffFixture fixture;
+  fixture.cutOffFromStore();
+  for (const uint16_t caller : { 1, 2 }) {
+    REQUIRE(fixture.sendRequest(fixture.reader(), caller));
+  }
+  fixture.advance(Millis{ 200 });
+  CHECK(fixture.sendRequest(fixture.reader(), 1));
+  CHECK(fixture.sendRequest(fixture.reader(), 2));
+  CHECK(fixture.sendRequest(fixture.reader(), 3));
+}
+
+// KNOWN-RED.txt, entry 15.
+TEST_CASE("a crowd before the cut resets no flow of an upstream that is cut off from the store" *
+          doctest::may_fail())
+{
+  CutOffFixture fixture;
+  fixture.crash(1);
+  checkServed(fixture, fixture.m_flows, Millis{ 3300 });
+  REQUIRE(fixture.sendSyn(fixture.reader(), 200) == 1);
+  fixture.advance(Millis{ 200 });
+  REQUIRE(fixture.sendSyn(fixture.reader(), 200, kFeedPort, 1) == 1);
+  fixture.advance(Millis{ 200 });
+  REQUIRE(fixture.upstream().m_registration == steering::RegistrationState::Missing);
+  CHECK(fixture.sendRequest(fixture.reader(), 1));
+}
+
+// KNOWN-RED.txt, entry 16.
+TEST_CASE("a snapshot of another host does not show that a draining upstream has left" *
+          doctest::may_fail())
+{
+  // Guards against entries that expired while the store was down, learned from a host started
+  // since.
+  HeartbeatFixture fixture;
+  fixture.start(HeartbeatFixture::record(1));
+  fixture.start(HeartbeatFixture::record(2));
+  fixture.advance(Millis{ 4000 });
+  const Flows flows = openFlows(fixture);
+  fixture.start(drainingRecord(1));
+  checkServed(fixture, flows, Millis{ 3000 });
+  fixture.m_isStoreUp = false;
+  fixture.advance(Millis{ 5000 });
+  Host started({ .m_peers = { .m_self = HostId{ 0x0a400009 },
+                              .m_dataCentre = "near",
+                              .m_capacity = 50,
+                              .m_incarnation = 1,
+                              .m_seeds = { HostId{ 0x0a400001 } } },
+                 .m_coldLimits = {},
+                 .m_flowTableCapacity = 1024,
+                 .m_seed = 9 });
+  const registry::Revision revision{ .m_number = 1000 };
+  const auto delta = fixture.follower().registry().changesSince({});
+  registry::StoreUpdate update{ .m_revision = revision, .m_isSnapshot = true };
+  update.m_changes = { { { registry::RecordKind::Upstream, HeartbeatFixture::nameOf(2) },
+                         revision,
+                         HeartbeatFixture::record(2) } };
+  update.m_configuration = std::vector<registry::Change>{};
+  for (const registry::Change& change : delta.m_changes) {
+    if (change.m_key.m_kind != registry::RecordKind::Upstream) {
+      update.m_configuration->push_back(change);
+    }
+  }
+  started.onStoreAnswer(fixture.m_now, update, true, fixture.m_now);
+  const auto received = registry::decodeDelta(registry::encodeDelta(
+    started.registry().changesSince(fixture.follower().registry().deltaBase())));
+  REQUIRE(received.ok());
+  REQUIRE(received->m_isSnapshot);
+  fixture.follower().onDifference(fixture.m_now, *received, HostId{ 0x0a400009 });
+  fixture.follower().peers().onStoreConfirmation(fixture.m_now);
+  REQUIRE(fixture.follower().registry().appliedRevision() == revision);
+  checkServed(fixture, flows, kReturnTime);
+}
+
+// KNOWN-RED.txt, entry 17.
+TEST_CASE("a request to an upstream whose entry has not arrived here yet is not reset" *
+          doctest::may_fail())
+{
+  Fleet fleet({ .m_dataCentres = 1, .m_hostsPerDataCentre = 2 });
+  fleet.run(Millis{ 6000 });
+  const HostId readerId = fleet.readerOf(0);
+  Host& reader = fleet.host(readerId);
+  Host& follower = fleet.host(Fleet::hostId(0, readerId == Fleet::hostId(0, 0) ? 1 : 0));
+  REQUIRE(follower.viewAge(fleet.m_now) <= Millis{ 2500 });
+  // The only upstream that takes new flows registers, and the status that says so is lost.
+  registry::StoreUpdate update{ .m_revision = { .m_number = 12 } };
+  for (uint32_t identity = 1; identity <= kUpstreamsPerDataCentre; ++identity) {
+    registry::UpstreamRecord draining =
+      reader.directory().findUpstream(steering::makeToken(identity, 0))->m_record;
+    draining.m_state = registry::UpstreamState::Draining;
+    update.m_changes.push_back(
+      { { registry::RecordKind::Upstream, "i-" + std::to_string(identity) },
+        { .m_number = 11 },
+        draining });
+  }
+  registry::UpstreamRecord young =
+    reader.directory().findUpstream(steering::makeToken(1, 0))->m_record;
+  young.m_state = registry::UpstreamState::Ready;
+  young.m_identity = 99;
+  young.m_address = Ipv4{ 0x0a8000ff };
+  update.m_changes.push_back(
+    { { registry::RecordKind::Upstream, "i-99" }, { .m_number = 12 }, young });
+  reader.onStoreAnswer(fleet.m_now, update, false, fleet.m_now);
+  fleet.m_now += Millis{ 100 };
+  steering::FlowPacket packet{
+    .m_flow = { Ipv4{ 0x64400007 }, Ipv4{ 0xc6120001 }, 1000, kHighPort },
+    .m_isSyn = true,
+    .m_sequence = 100
+  };
+  const steering::ForwardingDecision opened = reader.decide(fleet.m_now, packet);
+  REQUIRE(opened.m_action == steering::Action::Forward);
+  REQUIRE(opened.m_identity == 99);
+  packet.m_isSyn = false;
+  packet.m_sequence = 101;
+  packet.m_acknowledged = 1;
+  packet.m_token = opened.m_token;
+  CHECK(follower.decide(fleet.m_now, packet).m_action != steering::Action::Reset);
+  packet.m_length = 200;
+  CHECK(follower.decide(fleet.m_now, packet).m_action != steering::Action::Reset);
+}
