[tests] Claims of an address leave nothing behind

Change: AddressClaimsTest "entries that claimed an address for a while leave nothing behind" plays 500 entries that claim one address and vanish, half of them of an earlier start. One comment says what a missing start time means.

The test was not run on the code before.

Conclusion: two upstreams are left after the retention of tokens, and no entry is held.

--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -114,6 +114,7 @@
   if (!aHolder.m_service->isNamed()) {
     return true;
   }
+  // An entry without a start time counts as one of an earlier process.
   const int64_t startedLater = aClaimant.m_record.m_startedAtMs - aHolder.m_record.m_startedAtMs;
   if (startedLater < 0) {
     return isEarlierProcessAlive(aClaimant, aHolder);
--- a/lib/steering/AddressClaimsTest.cpp
+++ b/lib/steering/AddressClaimsTest.cpp
@@ -273,3 +273,27 @@
   fixture.renewEntry("other-1");
   CHECK(fixture.decide(fixture.synPacket(9)).m_port == 9000);
 }
+
+TEST_CASE("entries that claimed an address for a while leave nothing behind")
+{
+  // Guards against claims and held entries that outlast the upstreams that they belong to.
+  ClaimFixture fixture;
+  constexpr int kClaimants = 500;
+  for (int index = 0; index < kClaimants; ++index) {
+    registry::UpstreamRecord record = secondEntry("reports");
+    record.m_identity = 1000 + static_cast<uint64_t>(index);
+    record.m_startedAtMs = index % 2 == 0 ? 500 : 2000 + index;
+    const std::string name = "late-" + std::to_string(index);
+    fixture.addEntry(name, record);
+    record.m_startedAtMs -= 100;
+    fixture.addEntry(name, record);
+    fixture.apply({ { RecordKind::Upstream, name }, fixture.nextRevision(), std::nullopt, false });
+    CHECK(fixture.isServed());
+  }
+  CHECK(fixture.m_directory.heldRecordCount() == 0);
+  const size_t retentionBeats = static_cast<size_t>(kTokenRetention / kHeartbeat) + 2;
+  sendHeartbeats(fixture, static_cast<int>(retentionBeats));
+  CHECK(fixture.m_directory.upstreams().size() == 2);
+  CHECK(fixture.isServed());
+  CHECK(fixture.countNewFlows(1) > 0);
+}
