--- a/lib/settings/LastKnownGoodSettings.cpp
+++ b/lib/settings/LastKnownGoodSettings.cpp
@@ -27,10 +27,16 @@
   return { { "revision", aPart.m_revision }, { "value", aPart.m_value } };
 }
 
+/// Reads a part of a snapshot. Throws if the part is newer than the snapshot: such a part would win
+/// over those of all later documents when snapshots are merged.
 VersionedPart
-partFromJson(const Json& aJson)
+partFromJson(const Json& aJson, Revision aSnapshotRevision)
 {
-  return { .m_revision = toInteger<Revision>(aJson.at("revision")), .m_value = aJson.at("value") };
+  const auto revision = toInteger<Revision>(aJson.at("revision"));
+  if (revision > aSnapshotRevision) {
+    throw std::out_of_range("a part is newer than the snapshot");
+  }
+  return { .m_revision = revision, .m_value = aJson.at("value") };
 }
 
 void
@@ -79,9 +85,9 @@
   try {
     SettingsSnapshot snapshot;
     snapshot.m_revision = toInteger<Revision>(aJson.at("revision"));
-    snapshot.m_root = partFromJson(aJson.at("root"));
+    snapshot.m_root = partFromJson(aJson.at("root"), snapshot.m_revision);
     for (const auto& [team, part] : aJson.at("teams").items()) {
-      snapshot.m_teams.emplace(team, partFromJson(part));
+      snapshot.m_teams.emplace(team, partFromJson(part, snapshot.m_revision));
     }
     return snapshot;
   } catch (const std::exception& error) {
--- a/lib/settings/LastKnownGoodSettings.h
+++ b/lib/settings/LastKnownGoodSettings.h
@@ -25,7 +25,8 @@
 /// The last valid value of every part. Hosts exchange snapshots.
 struct SettingsSnapshot
 {
-  /// The revision of the newest document that was read, valid or not. It never decreases.
+  /// The revision of the newest document that was read, valid or not. It never decreases, and no
+  /// part has a higher one.
   Revision m_revision{};
   VersionedPart m_root;
   /// By team name.
@@ -35,6 +36,7 @@
 [[nodiscard]] Json
 toJson(const SettingsSnapshot& aSnapshot);
 
+/// Returns an error if the snapshot is malformed or a part is newer than the snapshot.
 [[nodiscard]] absl::StatusOr<SettingsSnapshot>
 snapshotFromJson(const Json& aJson);
 
--- a/lib/settings/SettingsTest.cpp
+++ b/lib/settings/SettingsTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace tamarack;
 using namespace tamarack::settings;
@@ -360,3 +361,27 @@
   CHECK(watcher.onPeerResponse(now, HostId{ 1 }, source.buildResponse(now, { 1, 0 })));
   CHECK(watcher.settings()->isDataCentreOut("natal"));
 }
+
+TEST_CASE(
+  "a part that is newer than its snapshot is refused and does not hide the platform's parts")
+{
+  EventLog events;
+  SettingsDistributor source({ .m_self = HostId{ 1 }, .m_dataCentre = "recife" }, events);
+  const TimePoint now{ Millis{ 100'000 } };
+  source.onPlatformResponse(now, { .m_settingsRevision = 1, .m_settings = makeDocument().dump() });
+  for (const std::string_view part : { "/form/root/revision", "/form/teams/field/revision" }) {
+    SettingsDistributor watcher({ .m_self = HostId{ 2 }, .m_dataCentre = "recife" }, events);
+    Json odd = Json::parse(source.buildResponse(now, { 0, 0 }));
+    odd[Json::json_pointer(std::string(part))] = std::numeric_limits<Revision>::max();
+    CHECK_FALSE(watcher.onPeerResponse(now, HostId{ 1 }, odd.dump()));
+    SettingsDistributor platformReader({ .m_self = HostId{ 1 }, .m_dataCentre = "recife" }, events);
+    Json document = makeDocument();
+    document["data_centres"]["natal"]["state"] = "out";
+    document["teams"]["field"]["pools"]["p"]["limits"]["slots"] = 8;
+    platformReader.onPlatformResponse(now,
+                                      { .m_settingsRevision = 2, .m_settings = document.dump() });
+    REQUIRE(watcher.onPeerResponse(now, HostId{ 1 }, platformReader.buildResponse(now, { 0, 0 })));
+    CHECK(watcher.settings()->isDataCentreOut("natal"));
+    CHECK(watcher.settings()->findService("feed")->m_limits.m_slots == 8);
+  }
+}
