--- a/lib/admission/AdmissionTest.cpp
+++ b/lib/admission/AdmissionTest.cpp
@@ -99,6 +99,20 @@
   CHECK(tracker.evaluate(kStart + Millis{ 4500 }).m_mode == Mode::Open);
 }
 
+// KNOWN-RED.txt, entry 19.
+TEST_CASE("one failed probe before reports stop does not count as probes that fail for a second" *
+          doctest::may_fail())
+{
+  UpstreamTracker tracker(makeLimits());
+  tracker.assumeWarm(kStart);
+  deliverReports(tracker, kStart, kStart + Millis{ 1000 }, warmReport());
+  tracker.onReport(kStart + Millis{ 1500 }, {});
+  CHECK(tracker.evaluate(kStart + Millis{ 2600 }).m_mode == Mode::Open);
+  CHECK(tracker.evaluate(kStart + Millis{ 3900 }).m_mode == Mode::Open);
+  // Without any report, the upstream is lost kReportTimeout after its last answer.
+  CHECK(tracker.evaluate(kStart + Millis{ 4100 }).m_lost);
+}
+
 TEST_CASE("an answer of another generation counts as a failed probe")
 {
   UpstreamTracker tracker(makeLimits());
--- a/lib/settings/SettingsTest.cpp
+++ b/lib/settings/SettingsTest.cpp
@@ -385,3 +385,32 @@
     CHECK(watcher.settings()->findService("feed")->m_limits.m_slots == 8);
   }
 }
+
+// KNOWN-RED.txt, entry 18.
+TEST_CASE("a host follows the platform after a peer sent settings with the greatest revision" *
+          doctest::may_fail())
+{
+  EventLog events;
+  SettingsDistributor peer({ .m_self = HostId{ 1 }, .m_dataCentre = "recife" }, events);
+  SettingsDistributor reader({ .m_self = HostId{ 2 }, .m_dataCentre = "recife" }, events);
+  TimePoint now{ Millis{ 100'000 } };
+  peer.onPlatformResponse(now, { .m_settingsRevision = 1, .m_settings = makeDocument().dump() });
+  Json odd = Json::parse(peer.buildResponse(now, { 0, 0 }));
+  for (const std::string_view field : { "/revision",
+                                        "/form/revision",
+                                        "/form/root/revision",
+                                        "/form/teams/field/revision",
+                                        "/form/teams/manuals/revision" }) {
+    odd[Json::json_pointer(std::string(field))] = std::numeric_limits<Revision>::max();
+  }
+  (void)reader.onPeerResponse(now, HostId{ 1 }, odd.dump());
+  Json document = makeDocument();
+  document["data_centres"]["natal"]["state"] = "out";
+  for (Revision revision = 2; revision <= 61; ++revision) {
+    now += Millis{ 2000 };
+    reader.onPlatformResponse(now,
+                              { .m_settingsRevision = revision, .m_settings = document.dump() });
+  }
+  CHECK(reader.settings()->isDataCentreOut("natal"));
+  CHECK(reader.confirmedAt() == now);
+}
