[steering] The judgement of evidence stands in a file of its own

Cause: flowEvidence and hasFailed decide when open flows are given up, and stood among the claims to addresses.

No behaviour changes.

--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -73,34 +73,6 @@
          kSilenceTimeout;
 }
 
-double
-ServiceDirectory::flowEvidence(TimePoint aNow, const Upstream& aUpstream) const
-{
-  const PassiveHealth& health = aUpstream.m_health;
-  const bool isUnregistered = aUpstream.m_registration >= RegistrationState::Missing;
-  const auto isValid = [&](TimePoint aLastAt) {
-    return aNow - aLastAt <= kEvidenceLifetime ||
-           (isUnregistered && aLastAt >= aUpstream.m_lastSignOfLifeAt);
-  };
-  return (isValid(health.lastEvidenceAt()) ? health.evidence() : 0) +
-         (isUnregistered && isValid(health.lastSynEvidenceAt()) ? health.synEvidence() : 0);
-}
-
-bool
-ServiceDirectory::hasFailed(TimePoint aNow, const Upstream& aUpstream) const
-{
-  const PassiveHealth& health = aUpstream.m_health;
-  if (health.evidence() + health.synEvidence() < kFailureEvidence) {
-    return false;
-  }
-  const bool isLasting = aNow - health.firstEvidenceAt() >= kMinFailureSpan;
-  if (!isLasting || flowEvidence(aNow, aUpstream) < kFailureEvidence) {
-    return false;
-  }
-  // Hosts elsewhere may be cut off from an upstream that this host reaches.
-  return health.isCorroborated() || aUpstream.m_registration >= RegistrationState::Missing;
-}
-
 bool
 ServiceDirectory::displaces(const Upstream& aClaimant, const Upstream& aHolder) const
 {
