[steering] An earlier process under the same name has to show life like one at the same address

Callers had open flows of a sound process reset that was cut off from the store only, when a late write of the process before its restart arrived and a host heard late of the removal of that entry.

Cause: the held entry of an earlier start was applied after 4 s, which ended the current process as restarted. It expires after 3.6 s, and a host may hear of that up to 2.5 s later (kMaxTrustedViewAge).

Evidence: new test "a late write under the name of the current process resets no flow although its removal is heard of late".

Change: the rule for addresses (isEarlierProcessAlive) also decides on held entries: three writes over 2 s or more without a sign of life of the current process, or an entry that stays for 6.5 s. Renewals of a held entry no longer count as signs of life of the current process, and a changed entry of the same earlier process no longer starts its hold time anew. Entries that are held because the store was restored from a backup keep their 4 s.

Cost: a restarted upstream whose clock went back is used after its third write (2.4 to 3.6 s, 4 s before) if its heartbeats are published, and after 6.5 s (4 s before) if they change nothing else (computed, not run).

--- a/lib/edge/RemovedEntryTest.cpp
+++ b/lib/edge/RemovedEntryTest.cpp
@@ -165,3 +165,28 @@
   CHECK_FALSE(fixture.sendRequest(fixture.reader(), 2));
   CHECK_FALSE(fixture.sendRequest(fixture.reader(), kFirstEntryCaller));
 }
+
+TEST_CASE("a late write under the name of the current process resets no flow although its removal "
+          "is heard of late")
+{
+  // Guards against taking an entry that has expired for one that stays.
+  ServedFixture fixture;
+  registry::UpstreamRecord current = HeartbeatFixture::record(1);
+  current.m_startedAtMs = 9000;
+  fixture.start(current);
+  fixture.advance(kTestTick);
+  for (uint16_t caller = 1; caller <= kCallers; ++caller) {
+    REQUIRE(fixture.openFlow(fixture.reader(), caller) == 1);
+  }
+  fixture.serve(Millis{ 2000 });
+  const size_t ended = fixture.countLogged(EventId::UpstreamEnded);
+  // The current process does not reach the store from here on.
+  fixture.stopHeartbeats(1);
+  fixture.writeLate(HeartbeatFixture::record(1));
+  fixture.serve(Millis{ 3500 });
+  fixture.m_isStoreUp = false;
+  fixture.serve(Millis{ 2400 });
+  fixture.m_isStoreUp = true;
+  fixture.serve(Millis{ 5000 });
+  CHECK(fixture.countLogged(EventId::UpstreamEnded) == ended);
+}
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -42,12 +42,14 @@
     }
     Upstream& upstream = *found->second;
     upstream.m_renewedRevision = renewal.m_revision;
+    if (upstream.holdsEarlierRecord()) {
+      upstream.m_heldWrites.add(aNow);
+      continue;
+    }
     upstream.m_isRenewed = true;
     upstream.m_lastSignOfLifeAt = aNow;
     if (upstream.m_hasAddressConflict) {
-      upstream.m_firstClaimWriteAt =
-        upstream.m_claimWrites++ == 0 ? aNow : upstream.m_firstClaimWriteAt;
-      upstream.m_lastClaimWriteAt = aNow;
+      upstream.m_claimWrites.add(aNow);
     }
     if (upstream.m_registration == RegistrationState::Ended && !upstream.m_heldRecord) {
       // The holder of the address was silent for a while, but its entry was never removed.
@@ -89,28 +91,29 @@
   // An entry without a start time counts as one of an earlier process.
   const int64_t startedLater = aClaimant.m_record.m_startedAtMs - aHolder.m_record.m_startedAtMs;
   if (startedLater < 0) {
-    return isEarlierProcessAlive(aClaimant, aHolder);
+    const bool isHolderGone = aHolder.m_registration != RegistrationState::Registered;
+    return aClaimant.m_hasAddressConflict &&
+           isEarlierProcessAlive(
+             aClaimant.m_claimWrites, aClaimant.m_claimedAt, aHolder, isHolderGone);
   }
   const bool isLater = startedLater > 0 || aClaimant.m_renewedRevision > aHolder.m_renewedRevision;
   return isLater && (aHolder.m_registration != RegistrationState::Registered || isSilent(aHolder));
 }
 
 bool
-ServiceDirectory::isEarlierProcessAlive(const Upstream& aEarlier, const Upstream& aHolder) const
+ServiceDirectory::isEarlierProcessAlive(const ContraryWrites& aWrites,
+                                        TimePoint aFirstSeenAt,
+                                        const Upstream& aLater,
+                                        bool aIsLaterEntryGone) const
 {
   const TimePoint writtenSince =
-    std::max({ aEarlier.m_firstClaimWriteAt, aHolder.m_lastSignOfLifeAt, m_silenceSince });
-  if (aEarlier.m_claimWrites >= kMinClaimWrites &&
-      aEarlier.m_lastClaimWriteAt - writtenSince >= kMinClaimWriteSpan) {
+    std::max({ aWrites.m_firstAt, aLater.m_lastSignOfLifeAt, m_silenceSince });
+  if (aWrites.m_count >= kMinClaimWrites && aWrites.m_lastAt - writtenSince >= kMinClaimWriteSpan) {
     return true;
   }
-  if (!aEarlier.m_hasAddressConflict || aHolder.m_registration == RegistrationState::Registered) {
-    return false;
-  }
   // A host hears of the removal of an entry late by the age of its records at most.
-  const TimePoint heardAt =
-    std::max({ aEarlier.m_claimedAt, aEarlier.m_lastClaimWriteAt, m_silenceSince });
-  return m_lastTick - heardAt >= kEntryExpiryTime + kMaxTrustedViewAge;
+  const TimePoint heardAt = std::max({ aFirstSeenAt, aWrites.m_lastAt, m_silenceSince });
+  return aIsLaterEntryGone && m_lastTick - heardAt >= kEntryExpiryTime + kMaxTrustedViewAge;
 }
 
 void
@@ -212,7 +215,7 @@
   }
   aUpstream.m_hasAddressConflict = aHasConflict;
   aUpstream.m_claimedAt = aNow;
-  aUpstream.m_claimWrites = 0;
+  aUpstream.m_claimWrites = {};
   aUpstream.m_service->m_areOpenUpstreamsStale = true;
   if (aHasConflict) {
     m_addressClaimants.push_back(&aUpstream);
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -160,9 +160,8 @@
 {
   const auto found = m_upstreamByName.find(aChange.m_key.m_name);
   Upstream* known = found == m_upstreamByName.end() ? nullptr : found->second;
-  if (known != nullptr) {
-    known->m_heldRecord.reset();
-  }
+  const std::optional<UpstreamRecord> held =
+    known == nullptr ? std::nullopt : std::exchange(known->m_heldRecord, std::nullopt);
   if (!aChange.m_record) {
     if (known == nullptr || known->m_registration != RegistrationState::Registered) {
       return;
@@ -183,10 +182,7 @@
   }
   if (known != nullptr && known->m_service->isNamed() &&
       record.m_startedAtMs < known->m_record.m_startedAtMs) {
-    // A late write of the process before a restart, or an entry of another writer without the start
-    // time. The current process writes its entry again.
-    known->m_heldRecord = record;
-    known->m_heldSince = aNow;
+    holdEarlierRecord(aNow, *known, held, record);
     return;
   }
   applyUpstreamRecord(aNow, aChange, known);
@@ -267,6 +263,21 @@
   return true;
 }
 
+void
+ServiceDirectory::holdEarlierRecord(TimePoint aNow,
+                                    Upstream& aCurrent,
+                                    const std::optional<UpstreamRecord>& aHeld,
+                                    const UpstreamRecord& aRecord)
+{
+  // A late write of the process before a restart, or an entry of another writer without the start
+  // time. The current process writes its entry again, if it reaches the store.
+  if (!aHeld || aHeld->m_startedAtMs != aRecord.m_startedAtMs) {
+    aCurrent.m_heldSince = aNow;
+    aCurrent.m_heldWrites = {};
+  }
+  aCurrent.m_heldRecord = aRecord;
+}
+
 void
 ServiceDirectory::releaseHeldRecords(TimePoint aNow)
 {
@@ -275,12 +286,11 @@
     if (!upstream->m_heldRecord) {
       continue;
     }
-    // While the registry is disturbed, a running upstream cannot write its entry again.
-    const bool isEarlierProcess =
-      upstream->m_heldRecord->m_startedAtMs < upstream->m_record.m_startedAtMs;
-    const TimePoint since =
-      isEarlierProcess ? std::max(upstream->m_heldSince, m_silenceSince) : upstream->m_heldSince;
-    if (aNow - since >= kRestoredRecordHoldTime) {
+    const bool isDue =
+      upstream->holdsEarlierRecord()
+        ? isEarlierProcessAlive(upstream->m_heldWrites, upstream->m_heldSince, *upstream, true)
+        : aNow - upstream->m_heldSince >= kRestoredRecordHoldTime;
+    if (isDue) {
       due.push_back(upstream.get());
     }
   }
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -30,12 +30,12 @@
 /// Time for which the entry of an upstream that is gone stays in the registry at most: it expires
 /// after three heartbeats of 1.2 s. An entry that remains for longer belongs to a running upstream.
 inline constexpr Millis kEntryExpiryTime{ 4000 };
-/// Time after which an entry that contradicts the known state is accepted: one that came with a
-/// store restored from a backup, or one of a process that started earlier.
+/// Time after which an entry of a store restored from a backup is accepted although it contradicts
+/// the known state.
 inline constexpr Millis kRestoredRecordHoldTime = kEntryExpiryTime;
-/// Number of writes by which an upstream shows that it runs, although another one with its address
-/// started later, and the least time between the first and the last of them. Writes of a process
-/// that is gone arrive together, when the connection that held them up works again.
+/// Number of writes by which a process shows that it runs, although another one with its address or
+/// name started later, and the least time between the first and the last of them. Writes of a
+/// process that is gone arrive together, when the connection that held them up works again.
 inline constexpr int kMinClaimWrites = 3;
 inline constexpr Millis kMinClaimWriteSpan{ 2000 };
 /// Time for which a data centre stays out of service when a restored store lost the order that took
@@ -83,6 +83,20 @@
 
 struct Service;
 
+/// Writes of the entry of a process, although another one with its address or name started later.
+struct ContraryWrites
+{
+  int m_count{};
+  TimePoint m_firstAt;
+  TimePoint m_lastAt;
+
+  void add(TimePoint aNow)
+  {
+    m_firstAt = m_count++ == 0 ? aNow : m_firstAt;
+    m_lastAt = aNow;
+  }
+};
+
 /// One process instance of an upstream, with what this host observes of it.
 struct Upstream
 {
@@ -110,10 +124,8 @@
   bool m_hasAddressConflict{};
   /// Time since which m_hasAddressConflict is set.
   TimePoint m_claimedAt;
-  /// Number of writes of the entry since m_claimedAt, with the times of the first and the last one.
-  int m_claimWrites{};
-  TimePoint m_firstClaimWriteAt;
-  TimePoint m_lastClaimWriteAt;
+  /// Writes of the entry since m_claimedAt.
+  ContraryWrites m_claimWrites;
   /// End of the cold start of the upstream.
   TimePoint m_coldUntil;
   PassiveHealth m_health;
@@ -131,12 +143,20 @@
   /// Another upstream with the same token takes precedence; this one gets no flows.
   bool m_hasTokenConflict{};
   /// An entry that contradicts the known state: one of a restored store that says that the upstream
-  /// is running, although it drained or left, or one of a process that started earlier. Applied at
-  /// m_heldSince + kRestoredRecordHoldTime, unless another change of the upstream comes first.
+  /// is running, although it drained or left, or one of a process that started earlier. Unless
+  /// another change of the upstream comes first, the former is applied at m_heldSince +
+  /// kRestoredRecordHoldTime, and the latter once it shows that its process runs.
   std::optional<registry::UpstreamRecord> m_heldRecord;
   TimePoint m_heldSince;
+  /// Writes of m_heldRecord, if it is of a process that started earlier.
+  ContraryWrites m_heldWrites;
 
   [[nodiscard]] bool isLocal() const { return m_dataCentre->m_isLocal; }
+  /// Whether m_heldRecord is of a process that started earlier.
+  [[nodiscard]] bool holdsEarlierRecord() const
+  {
+    return m_heldRecord && m_heldRecord->m_startedAtMs < m_record.m_startedAtMs;
+  }
   /// Whether the upstream has ended, or the removal of its entry is evidence that it has. An entry
   /// expires three heartbeats of 1.2 s after its last write, and an upstream dies one heartbeat
   /// after that write at most. So one that has answered within kSilenceTimeout was only cut off
@@ -309,7 +329,13 @@
   bool holdRestoredRecord(TimePoint aNow,
                           Upstream& aKnown,
                           const registry::UpstreamRecord& aRecord);
-  /// Applies what has been held back for long enough after the store was restored.
+  /// Holds back an entry of a process that started before the current one under its name. `aHeld`
+  /// is the entry that was held back before, if any.
+  void holdEarlierRecord(TimePoint aNow,
+                         Upstream& aCurrent,
+                         const std::optional<registry::UpstreamRecord>& aHeld,
+                         const registry::UpstreamRecord& aRecord);
+  /// Applies the entries and orders whose hold time has ended.
   void releaseHeldRecords(TimePoint aNow);
   void addUpstream(TimePoint aNow, const registry::Change& aChange);
   /// Returns the known upstream of a process instance under its name, or null. `aLatest` is the
@@ -323,10 +349,14 @@
   void giveAddress(TimePoint aNow, Upstream*& aHolder, Upstream& aClaimant);
   /// Whether the entry of an upstream shows that the holder of its address has ended.
   [[nodiscard]] bool displaces(const Upstream& aClaimant, const Upstream& aHolder) const;
-  /// Whether the entry of an upstream shows that its process still runs, although the holder of its
-  /// address started later: it is written again and again while the holder gives no sign of life,
-  /// or stays although that of the holder is gone and its own would have expired.
-  [[nodiscard]] bool isEarlierProcessAlive(const Upstream& aEarlier, const Upstream& aHolder) const;
+  /// Whether an entry shows that its process still runs, although `aLater`, with its address or
+  /// name, started later: it is written again and again while the later one gives no sign of life,
+  /// or stays although that of the later one is gone and its own would have expired. `aFirstSeenAt`
+  /// is the time of its first write.
+  [[nodiscard]] bool isEarlierProcessAlive(const ContraryWrites& aWrites,
+                                           TimePoint aFirstSeenAt,
+                                           const Upstream& aLater,
+                                           bool aIsLaterEntryGone) const;
   /// Gives addresses to upstreams with a claim whose holders have ended.
   void resolveAddressClaims(TimePoint aNow);
   /// Gives a token to an upstream that was refused it, once its holder has ended or turned out to
