[steering] A late write does not make requests wait for a process that has ended

Cause: any write of the entry made an ended upstream registered, although its claim to the address was not accepted.

Evidence: new test "requests on flows of a former process are rejected although a late write of it arrives".

Change: an upstream that had ended and whose entry was gone for good counts as ended while its entry is a late write: the upstream that holds the address started later, and the claim was not accepted. Claims are counted as before, so a process that runs gets its address back after three writes over 2 s. "Gone for good" is the removal, or the end of the grace period if the store was disturbed; an upstream that was ended while its entry stood serves again with its next heartbeat, as before.

Doubt: an upstream that was cut off from the store for more than 3.6 s, and whose address was taken by a valid entry with a later start, is not revived by one write any more.

--- a/lib/edge/RemovedEntryTest.cpp
+++ b/lib/edge/RemovedEntryTest.cpp
@@ -190,3 +190,47 @@
   fixture.serve(Millis{ 5000 });
   CHECK(fixture.countLogged(EventId::UpstreamEnded) == ended);
 }
+
+TEST_CASE("requests on flows of a former process are rejected although a late write of it arrives")
+{
+  // Guards against callers that wait for a process that has gone.
+  for (const int delay : { 100, 1000, 2100, 3000, 5000 }) {
+    CAPTURE(delay);
+    ServedFixture fixture;
+    fixture.crash(1);
+    fixture.advance(Millis{ 5000 });
+    registry::UpstreamRecord successor = HeartbeatFixture::record(1);
+    successor.m_identity = 7;
+    successor.m_startedAtMs = 16'000;
+    fixture.start(successor);
+    fixture.advance(Millis{ delay });
+    REQUIRE_FALSE(fixture.sendRequest(fixture.reader(), 1));
+    fixture.writeLate(HeartbeatFixture::record(1));
+    for (uint16_t caller = 2; caller <= kCallers; ++caller) {
+      fixture.advance(Millis{ 200 });
+      CHECK_FALSE(fixture.sendRequest(fixture.reader(), caller));
+    }
+  }
+}
+
+TEST_CASE("a process whose entry lapsed with the store is served if it returns in the grace period")
+{
+  // Guards against taking a return for a late write, and a write after that time for a return.
+  for (const int returnTime : { 1900, 2700 }) {
+    CAPTURE(returnTime);
+    ServedFixture fixture;
+    fixture.stopHeartbeats(1);
+    fixture.write(HeartbeatFixture::nameOf(1), std::nullopt, true);
+    fixture.advance(Millis{ 1500 });
+    registry::UpstreamRecord successor = HeartbeatFixture::record(1);
+    successor.m_identity = 7;
+    successor.m_startedAtMs = 16'000;
+    fixture.start(successor);
+    fixture.advance(kTestTick);
+    REQUIRE_FALSE(fixture.sendRequest(fixture.reader(), 1));
+    fixture.advance(Millis{ returnTime - 1600 });
+    fixture.writeLate(HeartbeatFixture::record(1));
+    fixture.advance(kTestTick);
+    CHECK(fixture.sendRequest(fixture.reader(), 2) == (returnTime < 2500));
+  }
+}
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -116,6 +116,15 @@
   return aIsLaterEntryGone && m_lastTick - heardAt >= kEntryExpiryTime + kMaxTrustedViewAge;
 }
 
+bool
+ServiceDirectory::isHeldByLater(const Upstream& aUpstream) const
+{
+  const auto holder =
+    m_upstreamByAddress.find(addressKey(aUpstream.m_record.m_address, aUpstream.m_record.m_port));
+  return aUpstream.m_hasAddressConflict && holder != m_upstreamByAddress.end() &&
+         holder->second->m_record.m_startedAtMs > aUpstream.m_record.m_startedAtMs;
+}
+
 void
 ServiceDirectory::claimAddress(TimePoint aNow, Upstream& aUpstream)
 {
@@ -220,6 +229,7 @@
   if (aHasConflict) {
     m_addressClaimants.push_back(&aUpstream);
   } else {
+    aUpstream.m_isLateWrite = false;
     std::erase(m_addressClaimants, &aUpstream);
   }
 }
--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -163,17 +163,9 @@
   const std::optional<UpstreamRecord> held =
     known == nullptr ? std::nullopt : std::exchange(known->m_heldRecord, std::nullopt);
   if (!aChange.m_record) {
-    if (known == nullptr || known->m_registration != RegistrationState::Registered) {
-      return;
+    if (known != nullptr) {
+      applyRemoval(aNow, *known, aChange.m_mayReturn);
     }
-    const bool mayReturn =
-      aChange.m_mayReturn && m_mechanisms.isEnabled(Mechanism::LapsedUpstreamGrace);
-    const bool hasLeft = known->m_record.m_state == UpstreamState::Draining;
-    setUnregistered(aNow,
-                    *known,
-                    mayReturn ? RegistrationState::Lapsed
-                              : (hasLeft ? RegistrationState::Ended : RegistrationState::Missing),
-                    hasLeft ? "left" : "entry-removed");
     return;
   }
   const auto& record = std::get<UpstreamRecord>(*aChange.m_record);
@@ -188,6 +180,26 @@
   applyUpstreamRecord(aNow, aChange, known);
 }
 
+void
+ServiceDirectory::applyRemoval(TimePoint aNow, Upstream& aUpstream, bool aMayReturn)
+{
+  const bool mayReturn = aMayReturn && m_mechanisms.isEnabled(Mechanism::LapsedUpstreamGrace);
+  aUpstream.m_entryGoneAt = aNow + (mayReturn ? kLapseGracePeriod : Millis{});
+  if (std::exchange(aUpstream.m_isLateWrite, false)) {
+    setUnregistered(aNow, aUpstream, RegistrationState::Ended, "entry-removed");
+    return;
+  }
+  if (aUpstream.m_registration != RegistrationState::Registered) {
+    return;
+  }
+  const bool hasLeft = aUpstream.m_record.m_state == UpstreamState::Draining;
+  setUnregistered(aNow,
+                  aUpstream,
+                  mayReturn ? RegistrationState::Lapsed
+                            : (hasLeft ? RegistrationState::Ended : RegistrationState::Missing),
+                  hasLeft ? "left" : "entry-removed");
+}
+
 void
 ServiceDirectory::applyUpstreamRecord(TimePoint aNow, const Change& aChange, Upstream* aKnown)
 {
@@ -376,10 +388,15 @@
       addressKey(aRecord.m_address, aRecord.m_port)) {
     releaseAddress(aNow, aUpstream);
   }
+  const bool mayBeLateWrite =
+    aUpstream.m_isLateWrite || (aUpstream.m_registration == RegistrationState::Ended &&
+                                aUpstream.m_entryGoneAt && aNow >= *aUpstream.m_entryGoneAt);
   aUpstream.m_record = aRecord;
   aUpstream.m_dataCentre = &findOrAddDataCentre(aRecord.m_dataCentre);
   aUpstream.m_registration = RegistrationState::Registered;
   claimAddress(aNow, aUpstream);
+  aUpstream.m_isLateWrite = mayBeLateWrite && isHeldByLater(aUpstream);
+  aUpstream.m_entryGoneAt.reset();
   const auto out = m_dataCentreOut.find(aRecord.m_dataCentre);
   aUpstream.m_isDataCentreOut = out != m_dataCentreOut.end() && out->second;
   if (wasOpen != aUpstream.acceptsNewFlows() || formerDataCentre != aUpstream.m_dataCentre) {
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -107,6 +107,13 @@
   registry::UpstreamRecord m_record;
   Token m_token;
   RegistrationState m_registration{ RegistrationState::Registered };
+  /// Time from which on the entry counts as gone for good: that of its removal, or the end of the
+  /// grace period if the store was disturbed. Unset while the entry stands.
+  std::optional<TimePoint> m_entryGoneAt;
+  /// The upstream had ended and its entry was gone for good when it was written again, and the
+  /// upstream that holds the address started later. The entry is taken for a late write until the
+  /// claim to the address is accepted.
+  bool m_isLateWrite{};
   /// Time of the last change to a state other than Registered.
   TimePoint m_unregisteredSince;
   /// Revision of the latest renewal of the entry; unset if the entry came with a restored store and
@@ -157,15 +164,19 @@
   {
     return m_heldRecord && m_heldRecord->m_startedAtMs < m_record.m_startedAtMs;
   }
+  /// Whether the upstream is known to have ended, although a late write of its entry may stand.
+  [[nodiscard]] bool hasEnded() const
+  {
+    return m_registration == RegistrationState::Ended || m_isLateWrite;
+  }
   /// Whether the upstream has ended, or the removal of its entry is evidence that it has. An entry
   /// expires three heartbeats of 1.2 s after its last write, and an upstream dies one heartbeat
   /// after that write at most. So one that has answered within kSilenceTimeout was only cut off
   /// from the store.
   [[nodiscard]] bool isGone(TimePoint aNow) const
   {
-    return m_registration == RegistrationState::Ended ||
-           (m_registration == RegistrationState::Missing &&
-            aNow - m_lastAnswerAt > kSilenceTimeout);
+    return hasEnded() || (m_registration == RegistrationState::Missing &&
+                          aNow - m_lastAnswerAt > kSilenceTimeout);
   }
   [[nodiscard]] bool isCold(TimePoint aNow) const { return aNow < m_coldUntil; }
   /// Whether new flows may go there, regardless of a cold start.
@@ -321,6 +332,7 @@
   void applyDataCentre(TimePoint aNow, const registry::Change& aChange);
   void setDataCentreOut(TimePoint aNow, const std::string& aName, bool aIsOut);
   void applyUpstream(TimePoint aNow, const registry::Change& aChange);
+  void applyRemoval(TimePoint aNow, Upstream& aUpstream, bool aMayReturn);
   /// Applies a change that holds a record. `aKnown` is the latest process instance under its name,
   /// or null.
   void applyUpstreamRecord(TimePoint aNow, const registry::Change& aChange, Upstream* aKnown);
@@ -357,6 +369,8 @@
                                            TimePoint aFirstSeenAt,
                                            const Upstream& aLater,
                                            bool aIsLaterEntryGone) const;
+  /// Whether the address that an upstream claims is held by one that started later.
+  [[nodiscard]] bool isHeldByLater(const Upstream& aUpstream) const;
   /// Gives addresses to upstreams with a claim whose holders have ended.
   void resolveAddressClaims(TimePoint aNow);
   /// Gives a token to an upstream that was refused it, once its holder has ended or turned out to
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -42,8 +42,7 @@
   std::vector<FlowPacket> resets;
   const bool resetsPending = m_directory.mechanisms().isEnabled(Mechanism::DeadUpstreamResets);
   for (const auto& upstream : m_directory.upstreams()) {
-    const bool hasFailed = upstream->m_registration == RegistrationState::Ended ||
-                           m_directory.hasFailed(aNow, *upstream);
+    const bool hasFailed = upstream->hasEnded() || m_directory.hasFailed(aNow, *upstream);
     if (resetsPending && hasFailed && !upstream->m_areFlowsReset) {
       resetPendingRequests(aNow, *upstream, resets);
     }
@@ -59,7 +58,7 @@
                                     const Upstream& aUpstream,
                                     std::vector<FlowPacket>& aResets)
 {
-  const bool hasEnded = aUpstream.m_registration == RegistrationState::Ended;
+  const bool hasEnded = aUpstream.hasEnded();
   for (FlowState& flow : m_flowTable.entries()) {
     if (flow.m_token != aUpstream.m_token || !flow.hasCompleteMap()) {
       continue;
@@ -249,8 +248,7 @@
   if (known != nullptr && isRetransmission) {
     previousToken = known->m_token;
     Upstream* const previous = m_directory.findUpstream(previousToken);
-    const bool isPreviousUsable =
-      previous != nullptr && previous->m_registration != RegistrationState::Ended;
+    const bool isPreviousUsable = previous != nullptr && !previous->hasEnded();
     if (isPreviousUsable && (known->hasCompleteMap() || arrivedInBurst)) {
       // The flow is established or its handshake is under way. A second upstream would answer as
       // well, and the caller would adopt the token that arrives last, whose upstream need not hold
@@ -322,7 +320,7 @@
   }
   FlowState& flow = m_flowTable.findOrAllocate(aNow, aPacket.m_flow);
   const FlowObservation observation = updateFlowState(aNow, aPacket, flow, *upstream);
-  if (upstream->m_registration >= RegistrationState::Missing) {
+  if (upstream->m_registration >= RegistrationState::Missing || upstream->hasEnded()) {
     if (observation.m_evidence > 0) {
       recordRetransmission(aNow, aPacket, *upstream, observation.m_evidence);
     }
@@ -469,8 +467,8 @@
 {
   // Packets without payload are forwarded: the upstream may be alive and only disconnected from the
   // store.
-  const bool hasFailed = aUpstream.m_registration == RegistrationState::Ended ||
-                         m_directory.flowEvidence(aNow, aUpstream) >= kSuspectEvidence;
+  const bool hasFailed =
+    aUpstream.hasEnded() || m_directory.flowEvidence(aNow, aUpstream) >= kSuspectEvidence;
   if (hasFailed && aPacket.m_length > 0) {
     return resetFlow(aNow, aPacket, aFlow, ErrorKind::UpstreamGone);
   }
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -189,7 +189,7 @@
   [[nodiscard]] bool isMeasured(const Upstream& aUpstream) const
   {
     return m_overloadControl.m_meter != nullptr && aUpstream.m_service->m_isGoverned &&
-           aUpstream.m_registration != RegistrationState::Ended;
+           !aUpstream.hasEnded();
   }
   /// Returns the route of a packet that counts as load, or null if it does not count.
   [[nodiscard]] const Route* findMeasuredRoute(const FlowPacket& aPacket,
--- a/lib/steering/TokenSteeringOverload.cpp
+++ b/lib/steering/TokenSteeringOverload.cpp
@@ -93,7 +93,7 @@
 void
 TokenSteering::scheduleIdleScan(Upstream& aUpstream)
 {
-  if (aUpstream.m_registration != RegistrationState::Ended || !aUpstream.m_service->m_isGoverned) {
+  if (!aUpstream.hasEnded() || !aUpstream.m_service->m_isGoverned) {
     aUpstream.m_idleScanEnd = 0;
     return;
   }
