[steering] The age of evidence counts from the loss that a retransmission shows

Callers would see: an idle flow is reset (upstream-silent) 4.0 to 5.3 s after a disruption.

Cause: evidence is void after 3.8 s, which leaves 0.2 s to the 4 s in which a disruption may still bear on open flows. But its age counted from the retransmission. A copy that comes up to 1.6 s after the end of the disruption shows the loss of the packet before it, during the disruption.

Change: the age of evidence counts from the packet before, at most 1.6 s earlier. Amount and first time of the evidence are as before.

A request to an upstream that has died is rejected at once as before, between 0.2 and 2 s after the copies (the second test of the file).

Cost: evidence of an upstream that has died is void up to 1.6 s earlier while its entry stands.

--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -55,13 +55,14 @@
   }
 
   /// Records that a caller of this host retransmitted a packet of an established flow. `aSurprisal`
-  /// is the negative logarithm of the probability of that with a healthy upstream, in nats. Returns
-  /// whether other hosts should be told: an avoidance begins, or the evidence of established flows
-  /// reaches kSuspectEvidence.
-  bool onRetransmission(TimePoint aNow, double aSurprisal)
+  /// is the negative logarithm of the probability of that with a healthy upstream, in nats. The
+  /// packet before, at `aLostAt`, got no answer, so the age of the evidence counts from there.
+  /// Returns whether other hosts should be told: an avoidance begins, or the evidence of
+  /// established flows reaches kSuspectEvidence.
+  bool onRetransmission(TimePoint aNow, double aSurprisal, TimePoint aLostAt)
   {
     const bool wasReached = evidenceAt(aNow) >= kSuspectEvidence;
-    addEvidence(aNow, aSurprisal);
+    addEvidence(aNow, aSurprisal, aLostAt);
     m_isCorroborated = true;
     const bool isReached = !wasReached && m_evidence >= kSuspectEvidence;
     return startAvoidanceIfSuspect(aNow) || isReached;
@@ -121,7 +122,7 @@
       m_isCorroborated = m_isCorroborated || aIsNearby;
       return isFirstNearby;
     }
-    addEvidence(aNow, kPeerReportEvidence);
+    addEvidence(aNow, kPeerReportEvidence, aNow);
     m_isCorroborated = m_isCorroborated || aIsNearby;
     m_reporters[m_reporterCount++] = aReporter;
     m_avoidedUntil = std::max(m_avoidedUntil, aNow + kInitialAvoidanceTime);
@@ -178,16 +179,17 @@
     m_avoidedUntil = aNow + m_avoidanceTime;
   }
 
-  void addEvidence(TimePoint aNow, double aEvidence)
+  void addEvidence(TimePoint aNow, double aEvidence, TimePoint aSeenAt)
   {
     if (evidenceAt(aNow) == 0) {
+      m_lastEvidenceAt = {};
       m_evidence = 0;
       m_reporterCount = 0;
       m_isCorroborated = false;
       m_firstEvidenceAt = aNow;
     }
     m_evidence += aEvidence;
-    m_lastEvidenceAt = aNow;
+    m_lastEvidenceAt = std::max(m_lastEvidenceAt, aSeenAt);
   }
 
   /// Evidence of failure since the last response, in nats, of established flows and of reports by
--- a/lib/steering/TokenSteering.cpp
+++ b/lib/steering/TokenSteering.cpp
@@ -138,7 +138,8 @@
 TokenSteering::recordRetransmission(TimePoint aNow,
                                     const FlowPacket& aPacket,
                                     Upstream& aUpstream,
-                                    double aSurprisal)
+                                    double aSurprisal,
+                                    TimePoint aLostAt)
 {
   if (m_directory.mechanisms().isEnabled(Mechanism::DataCentreReachability) &&
       aUpstream.m_dataCentre->m_reachability.onRetransmission(aNow)) {
@@ -148,8 +149,9 @@
   if (!m_directory.mechanisms().isEnabled(Mechanism::RetransmissionDetection)) {
     return;
   }
-  const bool isReported = aPacket.m_isSyn ? aUpstream.m_health.onSynRetransmission(aNow, aSurprisal)
-                                          : aUpstream.m_health.onRetransmission(aNow, aSurprisal);
+  const bool isReported = aPacket.m_isSyn
+                            ? aUpstream.m_health.onSynRetransmission(aNow, aSurprisal)
+                            : aUpstream.m_health.onRetransmission(aNow, aSurprisal, aLostAt);
   if (isReported) {
     recordEvent(
       aNow, aPacket, { .m_event = EventId::UpstreamAvoided, .m_token = aUpstream.m_token });
@@ -264,7 +266,7 @@
     if (isPreviousUsable) {
       const double surprisal = m_synRetransmissionProbability.surprisal();
       m_synRetransmissionProbability.add(true);
-      recordRetransmission(aNow, aPacket, *previous, surprisal);
+      recordRetransmission(aNow, aPacket, *previous, surprisal, aNow);
     }
   }
   const SelectionRequest request{ .m_route = &route->m_record,
@@ -324,7 +326,7 @@
   const FlowObservation observation = updateFlowState(aNow, aPacket, flow, *upstream);
   if (upstream->m_registration >= RegistrationState::Missing || upstream->hasEnded()) {
     if (observation.m_evidence > 0) {
-      recordRetransmission(aNow, aPacket, *upstream, observation.m_evidence);
+      recordRetransmission(aNow, aPacket, *upstream, observation.m_evidence, observation.m_lostAt);
     }
     // A caller sends an acknowledgement without payload when a response arrives. A request may
     // acknowledge one that it got through another host before the upstream died.
@@ -351,6 +353,8 @@
   const bool arrivedInBurst =
     m_isProcessingBacklog || aFlow.idleTime(aNow) < kMinRetransmissionInterval;
   FlowObservation observation;
+  // Packets in between may have passed through other hosts.
+  observation.m_lostAt = aNow - std::min(aFlow.idleTime(aNow), kMaxRetransmissionInterval);
   if (isKnown) {
     aFlow.touch(aNow);
   } else {
@@ -477,7 +481,7 @@
     recordResponse(aNow, aPacket, aUpstream);
   }
   if (aObservation.m_evidence > 0) {
-    recordRetransmission(aNow, aPacket, aUpstream, aObservation.m_evidence);
+    recordRetransmission(aNow, aPacket, aUpstream, aObservation.m_evidence, aObservation.m_lostAt);
   }
   const bool isFailed = aPacket.m_length > 0 && m_directory.hasFailed(aNow, aUpstream);
   if (isFailed && isRetryable(aPacket.m_flow)) {
--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -26,6 +26,8 @@
 /// were queued together, for example in a host that was paused, and are no evidence about the
 /// upstream.
 inline constexpr Millis kMinRetransmissionInterval{ 150 };
+/// Callers retransmit at intervals of 1.6 s at most.
+inline constexpr Millis kMaxRetransmissionInterval{ 1600 };
 /// Initial and minimum estimate of the probability that a SYN is retransmitted although the
 /// upstream is healthy, because the SYN or its answer was lost.
 inline constexpr double kInitialSynRetransmissionProbability = 0.01;
@@ -131,6 +133,8 @@
   {
     /// Evidence, in nats, that the upstream does not answer; 0 if the packet is no retransmission.
     double m_evidence{};
+    /// Time of the packet before, if this one is a retransmission of it.
+    TimePoint m_lostAt;
     /// The packet shows that the upstream answered: it acknowledges new data, or is the first after
     /// the handshake.
     bool m_isResponseAcknowledged{};
@@ -226,7 +230,8 @@
   void recordRetransmission(TimePoint aNow,
                             const FlowPacket& aPacket,
                             Upstream& aUpstream,
-                            double aSurprisal);
+                            double aSurprisal,
+                            TimePoint aLostAt);
   void recordResponse(TimePoint aNow, const FlowPacket& aPacket, Upstream& aUpstream);
   /// Feeds outlier detection with the time that a response took or that a request has been pending.
   void recordResponseTime(TimePoint aNow,
