[edge] Old observations of other hosts do not count as new

Callers would see: an idle flow is reset (upstream-silent) seconds after a cut has ended.

Cause: a host that knows no reader keeps its observations until there is one, for example until a cut ends. Reports carry no age, so on the hosts that get them the evidence counts for 3.8 s from then on.

Change: the observation that an upstream does not answer is discarded when it has waited for 500 ms. A status with observations leaves at the next tick if a reader is known. Other signals bear on new flows only and wait as before.

Before: DisruptionEndTest "a host that knows no reader in a disruption does not report its observations after it", with a wait of 1 s and of 5 s: CHECK( reports == (waited == 0 ? 1 : 0) ) values: CHECK( 1 == 0 ) After: passes; a report that waits for 100 ms is sent as before.

--- a/lib/edge/DisruptionEndTest.cpp
+++ b/lib/edge/DisruptionEndTest.cpp
@@ -85,3 +85,46 @@
     CHECK_FALSE(fixture.isServedAfter(kMaxCopyInterval + Millis{ waited }));
   }
 }
+
+TEST_CASE("a host that knows no reader in a disruption does not report its observations after it")
+{
+  // Guards against reports, which carry no age, that make old evidence new on the hosts that get
+  // them.
+  for (const int waited : { 0, 1000, 5000 }) {
+    CAPTURE(waited);
+    DisruptionFixture fixture;
+    fixture.endDisruption(fixture.follower(), 12);
+    fixture.advance(Millis{ 100 + waited });
+    const auto status = dissemination::decodeStatus(fixture.follower().makeStatus(fixture.m_now));
+    REQUIRE(status.ok());
+    const auto reports = std::ranges::count(status->m_healthReports,
+                                            dissemination::HealthSignal::Unresponsive,
+                                            &dissemination::HealthReport::m_signal);
+    CHECK(reports == (waited == 0 ? 1 : 0));
+  }
+}
+
+// KNOWN-RED.txt, entry 20.
+TEST_CASE("reports of copies of lost requests reset no flow 4 s after the end of the disruption" *
+          doctest::may_fail())
+{
+  // Reports carry no age: their evidence counts from their arrival.
+  for (const int later : { 0, 600, 1200 }) {
+    CAPTURE(later);
+    DisruptionFixture fixture;
+    fixture.endDisruption(fixture.follower(), 12);
+    // The report reaches the reader, which has the same of two other hosts.
+    fixture.advance(kTestTick);
+    auto status = dissemination::decodeStatus(fixture.follower().makeStatus(fixture.m_now));
+    REQUIRE(status.ok());
+    REQUIRE_FALSE(status->m_healthReports.empty());
+    dissemination::HealthReport report = status->m_healthReports.front();
+    CHECK(report.m_signal == dissemination::HealthSignal::Unresponsive);
+    for (const uint32_t host : { 0x0a410001, 0x0a410002 }) {
+      report.m_reporter = HostId{ host };
+      status->m_healthReports.push_back(report);
+    }
+    (void)fixture.reader().onStatus(fixture.m_now, *status);
+    CHECK(fixture.isServedAfter(kContactTime + Millis{ later }));
+  }
+}
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -264,7 +264,7 @@
     logUpstreamEvent(EventId::UpstreamSlow);
   }
   if (isNew && m_isReader && m_pendingHealthReports.size() < kMaxPendingHealthReports) {
-    m_pendingHealthReports.push_back(aObservation);
+    m_pendingHealthReports.push_back({ aObservation, aNow });
   }
 }
 
@@ -288,12 +288,25 @@
     }
     // Under overload every answer is slow, so each observation is sent once per status.
     const dissemination::HealthReport observation{ event.m_token.m_value, *sign, m_self };
-    if (std::ranges::find(m_pendingHealthReports, observation) == m_pendingHealthReports.end()) {
-      m_pendingHealthReports.push_back(observation);
+    const auto pending =
+      std::ranges::find(m_pendingHealthReports, observation, &PendingHealthReport::m_report);
+    if (pending == m_pendingHealthReports.end()) {
+      m_pendingHealthReports.push_back({ observation, event.m_at });
+    } else {
+      pending->m_since = event.m_at;
     }
   }
 }
 
+void
+Host::dropOldHealthReports(TimePoint aNow)
+{
+  std::erase_if(m_pendingHealthReports, [aNow](const PendingHealthReport& aPending) {
+    return aPending.m_report.m_signal == dissemination::HealthSignal::Unresponsive &&
+           aNow - aPending.m_since > kMaxHealthReportWait;
+  });
+}
+
 void
 Host::logHistoryChange(registry::Revision aBefore, size_t aChanges, std::string_view aFrom)
 {
@@ -359,6 +372,7 @@
   m_coldStartLimiter.setOwner(aNow, m_peers.isSoleReader(aNow));
   refreshView(aNow);
   collectHealthReports();
+  dropOldHealthReports(aNow);
 }
 
 void
@@ -420,7 +434,9 @@
 Host::encodeWithUpdates(dissemination::StatusMessage aStatus)
 {
   collectHealthReports();
-  aStatus.m_healthReports = m_pendingHealthReports;
+  for (const PendingHealthReport& pending : m_pendingHealthReports) {
+    aStatus.m_healthReports.push_back(pending.m_report);
+  }
   if (m_isReader && m_lastPushedRevision.isSet() &&
       m_lastPushedRevision < m_registry.appliedRevision()) {
     std::vector<uint8_t> difference =
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -24,6 +24,10 @@
 inline constexpr double kRejectedItemLineBurst = 8;
 /// Limit of observations of upstreams that wait for the next status.
 inline constexpr size_t kMaxPendingHealthReports = 32;
+/// Time for which the observation that an upstream does not answer waits for a status. Reports
+/// carry no age, so an old one would count as new on the hosts that get it. Statuses with
+/// observations leave at the next tick, unless no reader is known.
+inline constexpr Millis kMaxHealthReportWait{ 500 };
 
 /// Number of usable upstreams of a service that suffices to place its flows before all records are
 /// loaded. Hosts that start together load different ones, so the load still spreads.
@@ -176,6 +180,8 @@
     return m_distrustedHistory == 0 || aRevision.m_history < m_distrustedHistory;
   }
   void updateWithdrawal(TimePoint aNow);
+  /// Discards observations that have waited longer than kMaxHealthReportWait.
+  void dropOldHealthReports(TimePoint aNow);
   /// Turns new flow events that show a change of an upstream's health into pending observations.
   void collectHealthReports();
   /// Whether another host is known to be in the data centre of this host or of an upstream.
@@ -183,6 +189,13 @@
   /// Applies an observation of another host. A reader passes it on if it was new.
   void onObservation(TimePoint aNow, const dissemination::HealthReport& aObservation);
 
+  /// An observation that waits for the next status since `m_since`.
+  struct PendingHealthReport
+  {
+    dissemination::HealthReport m_report;
+    TimePoint m_since;
+  };
+
   registry::Registry m_registry;
   steering::ServiceDirectory m_directory;
   steering::ColdStartLimiter m_coldStartLimiter;
@@ -194,7 +207,7 @@
   dissemination::PeerTracker m_peers;
   std::vector<LogLine> m_logLines;
   /// Observations to send with the next status; at most kMaxPendingHealthReports.
-  std::vector<dissemination::HealthReport> m_pendingHealthReports;
+  std::vector<PendingHealthReport> m_pendingHealthReports;
   /// Number of flow events that collectHealthReports() has already examined.
   size_t m_scannedFlowEvents{};
   /// Revision up to which changed records were pushed. On a host that is not a reader, it follows
