[steering] Records that were just regained do not show that an upstream has ended

Callers would see: after an outage of the store, a request on an open flow is reset (upstream-gone) by a host that did not get the entry of its upstream before the outage.

Cause: entries expire while the store is down and return up to 2 s after it. A host that knows an upstream waits for that. One that does not know it took the first records after the outage for complete.

Change: after the records were too old to be trusted (2.5 s), unknown tokens are treated as after a start: flows are reset once the records are confirmed as of 2.5 s later. Their requests are kept and reset at that time without a copy.

Before: UnknownTokensTest "entries that expired while the store was down may return before flows are reset": CHECK( fixture.decide(fixture.requestPacket(1, unknownToken())).m_action == Action::Drop ) values: CHECK( 1 == 2 ) After: passes.

Cost: requests to upstreams that this host has never known wait for up to 2.5 s and a confirmation after such an outage, where they waited for a confirmation.

--- a/lib/steering/TokenSteering.h
+++ b/lib/steering/TokenSteering.h
@@ -16,9 +16,10 @@
 
 namespace tamarack::steering {
 
-/// Time after the first load of the registry during which packets with an unknown token are dropped
-/// rather than reset: entries that lapsed in the meantime may be registered again. During that
-/// time, requests on flows to upstreams that ended before the host started get no answer.
+/// Time after the first load of the registry, or after its records were too old to be trusted,
+/// during which packets with an unknown token are dropped rather than reset: entries that lapsed in
+/// the meantime may be registered again. During that time, requests on flows to upstreams that
+/// ended before the host started get no answer.
 inline constexpr Millis kUnknownTokenGracePeriod = kLapseGracePeriod;
 /// Callers have given up requests that have been pending for longer than this.
 inline constexpr Millis kMaxPendingRequestAge{ 6000 };
@@ -100,7 +101,13 @@
   {
   }
 
-  void setRegistryViewStatus(const RegistryViewStatus& aStatus) { m_viewStatus = aStatus; }
+  void setRegistryViewStatus(const RegistryViewStatus& aStatus)
+  {
+    const bool isRegained = m_viewStatus.m_confirmedAt != TimePoint{} &&
+                            aStatus.m_confirmedAt - m_viewStatus.m_confirmedAt > kMaxTrustedViewAge;
+    m_regainedAt = isRegained ? aStatus.m_confirmedAt : m_regainedAt;
+    m_viewStatus = aStatus;
+  }
   /// Sets whether the packets that follow may have been queued in this host. Their arrival times
   /// are then no evidence about upstreams.
   void setProcessingBacklog(bool aIsProcessingBacklog)
@@ -253,6 +260,8 @@
   ProbabilityEstimator m_requestRetransmissionProbability{ kInitialRequestRetransmissionProbability,
                                                            kMinRequestRetransmissionProbability };
   RegistryViewStatus m_viewStatus;
+  /// First confirmation after the records were too old to be trusted; the epoch if they never were.
+  TimePoint m_regainedAt;
   OverloadControl m_overloadControl;
   /// Number of entries of the flow table that resetIdleFlows() has visited so far, in cycles over
   /// the table. It stays below m_idleScanEnd while there is something left to visit.
--- a/lib/steering/TokenSteeringUnknown.cpp
+++ b/lib/steering/TokenSteeringUnknown.cpp
@@ -9,7 +9,11 @@
 {
   const bool isGracePeriodOver = m_viewStatus.m_loadedAt != TimePoint{} &&
                                  aNow - m_viewStatus.m_loadedAt >= kUnknownTokenGracePeriod;
-  return isGracePeriodOver && isViewCurrent(aNow) && m_viewStatus.m_confirmedAt >= aFirstAt;
+  // Entries that expired while the store was down are back by then.
+  const bool haveEntriesReturned =
+    m_viewStatus.m_confirmedAt >= m_regainedAt + kUnknownTokenGracePeriod;
+  return isGracePeriodOver && haveEntriesReturned && isViewCurrent(aNow) &&
+         m_viewStatus.m_confirmedAt >= aFirstAt;
 }
 
 ForwardingDecision
--- a/lib/steering/UnknownTokensTest.cpp
+++ b/lib/steering/UnknownTokensTest.cpp
@@ -179,6 +179,35 @@
     CHECK(resets == 0);
     const auto due = confirm(fixture);
     CHECK(std::ranges::count(due, Token{ 7 }, &FlowPacket::m_token) == 1);
-    passTime(fixture, kUnknownTokenLifetime + kTick);
+    for (Millis passed{}; passed <= kUnknownTokenLifetime; passed += Millis{ 1000 }) {
+      passTime(fixture, Millis{ 1000 });
+      CHECK(confirm(fixture).empty());
+    }
+  }
+}
+
+TEST_CASE("entries that expired while the store was down may return before flows are reset")
+{
+  // Guards against taking records that were just regained for complete: a host that did not get an
+  // entry before the store went down does not know that it is missing.
+  for (const bool doesReturn : { true, false }) {
+    CAPTURE(doesReturn);
+    Fixture fixture;
+    passTime(fixture, Millis{ 5000 });
+    CHECK(confirm(fixture).empty());
+    CHECK(fixture.decide(fixture.requestPacket(1, unknownToken())).m_action == Action::Drop);
+    for (Millis passed{}; passed < Millis{ 2000 }; passed += Millis{ 500 }) {
+      passTime(fixture, Millis{ 500 });
+      CHECK(confirm(fixture).empty());
+    }
+    if (doesReturn) {
+      fixture.addUpstream(Fixture::upstreamRecord(99));
+    }
+    passTime(fixture, Millis{ 500 });
+    CHECK(confirm(fixture).size() == (doesReturn ? 0 : 1));
+    if (doesReturn) {
+      const auto packet = fixture.requestPacket(1, unknownToken());
+      CHECK(fixture.decide(packet).m_action == Action::Forward);
+    }
   }
 }
