[registry] A load after a contradicted history is no sign of life

Callers' requests went to a process that had ended, or on to one that had not answered: after the store has contradicted the history of the records held, the revisions start anew, and all entries of the next load counted as written. So a process that had been replaced at its address was registered again, one that had crashed seemed to run and kept its address from its successor, and three loads within 2.2 s gave the address of a running upstream that was cut off from the store back to the process before it, which reset its flows. A draining upstream that the load lacked was taken for left.

Change: a record that replaces one of before the reset is no renewal, since their order is unknown, and the removal of such a record may be undone, since it may be of a history that the store does not have. An upstream registers its entry again in that case.

--- a/lib/registry/Registry.cpp
+++ b/lib/registry/Registry.cpp
@@ -89,7 +89,9 @@
     return false;
   }
   const bool isRemoval = !aChange.m_record.has_value();
-  if (!isRemoval && aChange.m_key.m_kind == RecordKind::Upstream) {
+  // The order of a record and one of before resetRevisions() is unknown.
+  const bool isOrderKnown = found == m_records.end() || found->second.m_revision.isSet();
+  if (!isRemoval && isOrderKnown && aChange.m_key.m_kind == RecordKind::Upstream) {
     m_renewals.push_back({ aChange.m_key.m_name, aChange.m_revision });
   }
   if (found != m_records.end() && isWarmUpProgress(found->second.m_record, aChange.m_record)) {
@@ -123,7 +125,9 @@
   std::vector<Change> removals;
   for (const auto& [key, versioned] : m_records) {
     if (versioned.m_record && versioned.m_revision <= aRevision && !aIsPresent(key)) {
-      removals.push_back({ key, aRevision, std::nullopt, aMayReturn });
+      // A record of before resetRevisions() may be of a history that the store does not have.
+      const bool mayReturn = aMayReturn || !versioned.m_revision.isSet();
+      removals.push_back({ key, aRevision, std::nullopt, mayReturn });
     }
   }
   for (Change& removal : removals) {
--- a/lib/registry/Registry.h
+++ b/lib/registry/Registry.h
@@ -56,6 +56,7 @@
 
   /// The records of upstreams that were written after those held before the last merge. Empty after
   /// a merge that adopted a newer history, whose records may be older than the ones they replace.
+  /// For the same reason, a record that replaces one of before resetRevisions() is not among them.
   [[nodiscard]] std::span<const Renewal> renewals() const { return m_renewals; }
 
   /// Marks all records as older than any revision, so that the next snapshot replaces them,
