[steering] The expiry of a late entry does not show that a draining upstream left

Callers saw resets of open flows of a draining upstream: a late write of the process before its restart had replaced its entry, which then expired.

Cause: the removal of an entry was taken for the exit of the current process if that was draining, also while the entry that was removed was the held one of an earlier process.

Change: the removal of such an entry makes the upstream missing, which resets no flow alone.

Evidence: LateEntryTest, "the expiry of a late entry ..." fails on the code before (16 checks: all requests after the expiry are rejected, whether the store publishes each heartbeat or not), and passes with the change. The other cases of the test pass on the code before, and clear these paths: a late write from before an upstream began to drain, the late entry of an upstream that has left, the late removal of the process before a restart, and an entry that does not change beside a later one at its address. 100 ms to 6 s late, on both hosts, they reset no flow of an upstream that runs.

What it costs: if the entry of a draining upstream was replaced by one of an earlier start and the upstream leaves before it has written again (1.2 s), its flows are reset after two lost requests, as of one that crashed, and not at once.

--- a/lib/steering/ServiceDirectory.cpp
+++ b/lib/steering/ServiceDirectory.cpp
@@ -164,7 +164,9 @@
     known == nullptr ? std::nullopt : std::exchange(known->m_heldRecord, std::nullopt);
   if (!aChange.m_record) {
     if (known != nullptr) {
-      applyRemoval(aNow, *known, aChange.m_mayReturn);
+      // The expiry of a late write of an earlier process says nothing of the current one.
+      const bool isOfEarlierProcess = held && held->m_startedAtMs < known->m_record.m_startedAtMs;
+      applyRemoval(aNow, *known, aChange.m_mayReturn, isOfEarlierProcess);
     }
     return;
   }
@@ -181,7 +183,10 @@
 }
 
 void
-ServiceDirectory::applyRemoval(TimePoint aNow, Upstream& aUpstream, bool aMayReturn)
+ServiceDirectory::applyRemoval(TimePoint aNow,
+                               Upstream& aUpstream,
+                               bool aMayReturn,
+                               bool aIsOfEarlierProcess)
 {
   const bool mayReturn = aMayReturn && m_mechanisms.isEnabled(Mechanism::LapsedUpstreamGrace);
   aUpstream.m_entryGoneAt = aNow + (mayReturn ? kLapseGracePeriod : Millis{});
@@ -192,7 +197,8 @@
   if (aUpstream.m_registration != RegistrationState::Registered) {
     return;
   }
-  const bool hasLeft = aUpstream.m_record.m_state == UpstreamState::Draining;
+  const bool hasLeft =
+    aUpstream.m_record.m_state == UpstreamState::Draining && !aIsOfEarlierProcess;
   setUnregistered(aNow,
                   aUpstream,
                   mayReturn ? RegistrationState::Lapsed
