--- a/lib/edge/LateEntryTest.cpp
+++ b/lib/edge/LateEntryTest.cpp
@@ -214,3 +214,38 @@
     }
   }
 }
+
+// KNOWN-RED.txt, entry 21.
+TEST_CASE("a late write of a process without a start time resets no flow of its successor" *
+          doctest::may_fail())
+{
+  // Guards against the order of writes taken for the order of processes.
+  for (const int idleTime : { 100, 1500, 2500, 3500 }) {
+    CAPTURE(idleTime);
+    HeartbeatFixture fixture;
+    const registry::UpstreamRecord former = entryOf(1, registry::UpstreamState::Ready, 0);
+    fixture.start(former);
+    fixture.start(HeartbeatFixture::record(6));
+    fixture.advance(Millis{ 4000 });
+    fixture.publishChangesOnly(6);
+    fixture.crash(1);
+    fixture.advance(Millis{ 5000 });
+    registry::UpstreamRecord current = entryOf(7, registry::UpstreamState::Ready, 0);
+    current.m_address = former.m_address;
+    fixture.start(current);
+    fixture.advance(Millis{ 200 });
+    std::vector<uint16_t> callers;
+    for (uint16_t caller = 200; caller < 240; ++caller) {
+      if (fixture.openFlow(fixture.reader(), caller) == 7) {
+        callers.push_back(caller);
+      }
+    }
+    REQUIRE(!callers.empty());
+    fixture.advance(Millis{ 3000 });
+    fixture.writeLate(former);
+    fixture.advance(Millis{ idleTime });
+    for (const uint16_t caller : callers) {
+      CHECK(fixture.sendRequest(fixture.reader(), caller));
+    }
+  }
+}
--- a/lib/steering/ServiceDirectory.h
+++ b/lib/steering/ServiceDirectory.h
@@ -332,10 +332,7 @@
   void applyDataCentre(TimePoint aNow, const registry::Change& aChange);
   void setDataCentreOut(TimePoint aNow, const std::string& aName, bool aIsOut);
   void applyUpstream(TimePoint aNow, const registry::Change& aChange);
-  void applyRemoval(TimePoint aNow,
-                    Upstream& aUpstream,
-                    bool aMayReturn,
-                    bool aIsOfEarlierProcess);
+  void applyRemoval(TimePoint aNow, Upstream& aUpstream, bool aMayReturn, bool aIsOfEarlierProcess);
   /// Applies a change that holds a record. `aKnown` is the latest process instance under its name,
   /// or null.
   void applyUpstreamRecord(TimePoint aNow, const registry::Change& aChange, Upstream* aKnown);
