--- a/lib/edge/ReporterCredibilityTest.cpp
+++ b/lib/edge/ReporterCredibilityTest.cpp
@@ -264,3 +264,18 @@
     }
   }
 }
+
+TEST_CASE("a host that knew no reader for seconds does not report what it saw before")
+{
+  // Receivers take a report for one of now, although the upstream answers again.
+  CredibilityFixture fixture("near", "near");
+  fixture.sendRequests(kAllReporters, { kReported });
+  fixture.run(kFirstCopyDelay);
+  fixture.sendRequests(kAllReporters, { kReported });
+  fixture.run(Millis{ 3000 });
+  CHECK(fixture.sendRequest(fixture.reader(), fixture.caller(kReported)));
+  fixture.sendReports();
+  CHECK(fixture.m_reports == 0);
+  fixture.run(Millis{ 500 });
+  CHECK(fixture.resets().empty());
+}
