--- a/soak/Upstream.cpp
+++ b/soak/Upstream.cpp
@@ -67,9 +67,11 @@
     Json{ { "service", m_service == 0 ? "feed" : "report" },
           { "addr", formatIpv4(Ipv4{ m_address }) + ":" + std::to_string(kUpstreamPort) },
           { "zone", m_dataCentre },
+          { "version", "v1" },
           { "concurrency", 4 },
           { "state", aIsDraining ? "draining" : "ready" },
           { "warmup_left_ms", std::max<int64_t>(0, warmUpLeft) },
+          { "seq", ++m_writes },
           { "born", m_id } }
       .dump());
 }
--- a/soak/World.h
+++ b/soak/World.h
@@ -124,6 +124,8 @@
   std::string m_dataCentre;
   uint32_t m_address;
   uint32_t m_id;
+  /// Number of writes of the entry.
+  uint64_t m_writes{};
   bool m_isAlive{ true };
   Clock::time_point m_drainingSince{};
   /// When its cold start ends.
