--- a/lib/edge/HeartbeatFixture.h
+++ b/lib/edge/HeartbeatFixture.h
@@ -124,6 +124,18 @@
     m_written.push_back(std::move(change));
   }
 
+  /// Restores the store from a backup that holds these entries. It begins a new history, and the
+  /// reader loads it at its next answer.
+  void restoreStore(const std::vector<registry::UpstreamRecord>& aEntries)
+  {
+    ++m_revision.m_history;
+    m_isLoaded = false;
+    m_written.clear();
+    for (const registry::UpstreamRecord& entry : aEntries) {
+      write(nameOf(entry.m_identity), entry);
+    }
+  }
+
   void advance(Millis aTime)
   {
     for (const TimePoint end = m_now + aTime; m_now < end;) {
@@ -160,6 +172,7 @@
                                          .m_isSyn = true,
                                          .m_synRetransmissions = aCopies,
                                          .m_sequence = aSequence });
+    m_lastDecision = decision;
     if (decision.m_action != steering::Action::Forward) {
       return 0;
     }
@@ -199,6 +212,11 @@
     (void)aHost.decide(m_now, packet);
   }
 
+  /// The decision on the latest packet.
+  [[nodiscard]] const steering::ForwardingDecision& lastDecision() const { return m_lastDecision; }
+  [[nodiscard]] const std::vector<LogLine>& logLines() const { return m_logLines; }
+  /// The revision of the store.
+  [[nodiscard]] registry::Revision revision() const { return m_revision; }
   /// The callers whose flows were reset without a packet of theirs.
   [[nodiscard]] const std::set<uint16_t>& resets() const { return m_resets; }
   [[nodiscard]] size_t countLogged(EventId aEvent) const
@@ -217,6 +235,10 @@
   TimePoint m_now{ Millis{ 100'000 } };
   /// Whether the store answers; heartbeats that are due meanwhile are lost.
   bool m_isStoreUp{ true };
+  /// Whether the reader knows of a recent failure of the store, so that removed entries may return.
+  bool m_isStoreDisturbed{};
+  /// Whether the follower gets the records of the reader.
+  bool m_isFollowerFed{ true };
 
 private:
   struct Flow
@@ -245,7 +267,8 @@
 
   steering::ForwardingDecision sendPacket(Host& aHost, uint16_t aCaller, uint16_t aLength)
   {
-    return aHost.decide(m_now, makePacket(aCaller, aLength));
+    m_lastDecision = aHost.decide(m_now, makePacket(aCaller, aLength));
+    return m_lastDecision;
   }
 
   void sendHeartbeats()
@@ -281,7 +304,10 @@
     update.m_changes = std::exchange(m_written, {});
     update.m_configuration = std::exchange(m_configuration, {});
     m_isLoaded = true;
-    reader().onStoreAnswer(m_now, update, false, m_now);
+    reader().onStoreAnswer(m_now, update, m_isStoreDisturbed, m_now);
+    if (!m_isFollowerFed) {
+      return;
+    }
     const auto delta = registry::decodeDelta(registry::encodeDelta(
       reader().registry().changesSince(follower().registry().appliedRevision())));
     REQUIRE(delta.ok());
@@ -303,6 +329,7 @@
   std::map<uint16_t, Flow> m_flows;
   std::set<uint16_t> m_resets;
   std::vector<LogLine> m_logLines;
+  steering::ForwardingDecision m_lastDecision;
 };
 
 } // namespace tamarack::edge
--- /dev/null
+++ b/lib/edge/LifetimeFault.h
@@ -0,0 +1,51 @@
+// The ways in which a host can fail a flow during the lifetime of its upstream.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace tamarack::edge {
+
+/// What a host did wrong, as far as its state tells.
+enum class LifetimeFault : uint8_t
+{
+  /// It reset a flow of a running process whose entry it has never had.
+  ResetUnknown,
+  /// The entry is gone, and packets of callers seem to show that the process does not answer.
+  ResetMissing,
+  /// It takes a draining process for left, since a snapshot of another host lacks its entry.
+  ResetAsLeft,
+  /// It takes the process for ended by a late write of the former process under its name, which the
+  /// process could not replace.
+  ResetByHeldEntry,
+  /// It takes the process for ended for any other reason.
+  ResetAsEnded,
+  /// The flow has the token of the former process under the name, since it was opened before the
+  /// host knew of the restart.
+  ResetOfFormerToken,
+  /// Three hosts elsewhere report the process.
+  ResetOnReports,
+  /// None of these; the entry stands.
+  ResetRegistered,
+  /// A request to a process that has ended was not reset in time.
+  WaitsForReplaced,
+  /// The same of a process that the host holds for a second claimant of its address, which it does
+  /// not take for ended.
+  WaitsForClaimant,
+  WaitsForLeft,
+  WaitsForDead,
+};
+
+inline std::string
+faultName(LifetimeFault aFault)
+{
+  static constexpr std::array kNames{
+    "ResetUnknown",     "ResetMissing",       "ResetAsLeft",    "ResetByHeldEntry",
+    "ResetAsEnded",     "ResetOfFormerToken", "ResetOnReports", "ResetRegistered",
+    "WaitsForReplaced", "WaitsForClaimant",   "WaitsForLeft",   "WaitsForDead",
+  };
+  return kNames.at(static_cast<size_t>(aFault));
+}
+
+} // namespace tamarack::edge
