--- a/lib/edge/RemovedEntryTest.cpp
+++ b/lib/edge/RemovedEntryTest.cpp
@@ -92,18 +92,17 @@
     uint16_t m_senders;
     Millis m_timeUntilLeft;
   };
-  for (const auto& [firstCaller, senders, expected] :
-       { Case{ 1, 1, Millis{ 600 } },
-         Case{ 1, 2, Millis{ 600 } },
-         Case{ 1, 10, Millis{ 600 } },
-         Case{ kFirstEntryCaller, 1, Millis{ 3000 } },
-         Case{ kFirstEntryCaller, 10, Millis{ 2100 } } }) {
-    CAPTURE(firstCaller);
-    CAPTURE(senders);
+  for (const Case& row : { Case{ 1, 1, Millis{ 600 } },
+                           Case{ 1, 2, Millis{ 600 } },
+                           Case{ 1, 10, Millis{ 600 } },
+                           Case{ kFirstEntryCaller, 1, Millis{ 3000 } },
+                           Case{ kFirstEntryCaller, 10, Millis{ 2100 } } }) {
+    CAPTURE(row.m_firstCaller);
+    CAPTURE(row.m_senders);
     ServedFixture fixture;
     fixture.crash(1);
     fixture.serve(3 * kHeartbeatInterval + Millis{ 500 });
-    CHECK(fixture.timeUntilLeft(firstCaller, senders) == expected);
+    CHECK(fixture.timeUntilLeft(row.m_firstCaller, row.m_senders) == row.m_timeUntilLeft);
   }
 }
 
