[edge] Revert the credibility of reporters

One answer 50 to 500 ms after a report made its reporter incredible for 3.8 s on all upstreams. Four sound reporters that had each reported a survivor whose answer came 60 to 360 ms later could then not report an upstream that died: a request sent once was reset after 300 ms before, and not within 8 s with that commit.

The two tests of the fault that it was to mend fail again on this code and stay, as KNOWN-RED.txt 27; the two tests of the opposite pass.

--- a/lib/edge/ReporterCredibilityTest.cpp
+++ b/lib/edge/FaultyReporterTest.cpp
@@ -166,7 +166,9 @@
 
 } // namespace
 
-TEST_CASE("requests are not reset on reports of hosts nearby whose links lose packets")
+// KNOWN-RED.txt, entry 27.
+TEST_CASE("requests are not reset on reports of hosts nearby whose links lose packets" *
+          doctest::may_fail())
 {
   // The upstreams answer here, except that the response to one request takes longer.
   for (const Placement& placement : kPlacements) {
@@ -185,7 +187,9 @@
   }
 }
 
-TEST_CASE("requests to an idle upstream are not reset on reports of hosts that were wrong before")
+// KNOWN-RED.txt, entry 27.
+TEST_CASE("requests to an idle upstream are not reset on reports of hosts that were wrong before" *
+          doctest::may_fail())
 {
   // The same, with reports of this upstream after those of the other ones.
   for (const Placement& placement : kPlacements) {
--- a/lib/edge/Host.cpp
+++ b/lib/edge/Host.cpp
@@ -199,9 +199,7 @@
   if (!isLoaded()) {
     m_bootstrap.onHostHeard(aStatus.m_revision.isSet());
   }
-  if (delay == Millis{} && !aStatus.m_healthReports.empty() &&
-      m_directory.mechanisms().isEnabled(Mechanism::PeerHealthReports)) {
-    dismissContradictedReports(aNow);
+  if (delay == Millis{} && m_directory.mechanisms().isEnabled(Mechanism::PeerHealthReports)) {
     for (const dissemination::HealthReport& observation : aStatus.m_healthReports) {
       onObservation(aNow, observation);
     }
@@ -260,7 +258,8 @@
   bool isNew = false;
   switch (aObservation.m_signal) {
     case dissemination::HealthSignal::Unresponsive:
-      isNew = onUnresponsiveReport(aNow, aObservation, *upstream);
+      isNew = upstream->m_health.onPeerReport(
+        aNow, aObservation.m_reporter, isNearby(aObservation.m_reporter, *upstream));
       break;
     case dissemination::HealthSignal::Recovered:
       isNew = upstream->m_health.onResponse(aNow);
@@ -290,37 +289,6 @@
   }
 }
 
-bool
-Host::onUnresponsiveReport(TimePoint aNow,
-                           const dissemination::HealthReport& aReport,
-                           steering::Upstream& aUpstream)
-{
-  const HostId reporter = aReport.m_reporter;
-  const bool isNew =
-    aUpstream.m_health.onPeerReport(aNow,
-                                    reporter,
-                                    isNearby(reporter, aUpstream),
-                                    m_reporterCredibility.isCredible(aNow, reporter));
-  if (isNew) {
-    m_reporterCredibility.onReport(aNow, reporter, aUpstream.m_token);
-  }
-  return isNew;
-}
-
-void
-Host::dismissContradictedReports(TimePoint aNow)
-{
-  const auto lastAnswerAt = [this](steering::Token aToken) {
-    const steering::Upstream* const upstream = m_directory.findUpstream(aToken);
-    return upstream == nullptr ? TimePoint{} : upstream->m_lastAnswerAt;
-  };
-  for (const HostId reporter : m_reporterCredibility.verify(aNow, lastAnswerAt)) {
-    for (const auto& upstream : m_directory.upstreams()) {
-      upstream->m_health.dismissReporter(reporter);
-    }
-  }
-}
-
 bool
 Host::isNearby(HostId aHost, const steering::Upstream& aUpstream) const
 {
@@ -405,7 +373,6 @@
   // After a pause of this process the records are old, and silence restarts before it is judged.
   refreshView(aNow);
   m_directory.tick(aNow);
-  dismissContradictedReports(aNow);
   m_bootstrap.start(
     aNow, m_peers.hasOtherSeeds() && m_directory.mechanisms().isEnabled(Mechanism::PeerBootstrap));
   const bool isReader = m_peers.updateReaderRole(aNow);
--- a/lib/edge/Host.h
+++ b/lib/edge/Host.h
@@ -8,7 +8,6 @@
 #include "edge/BootstrapPolicy.h"
 #include "edge/OverloadControl.h"
 #include "edge/PauseDetector.h"
-#include "edge/ReporterCredibility.h"
 #include "edge/WithdrawalPolicy.h"
 #include "registry/Registry.h"
 #include "steering/TokenSteering.h"
@@ -198,12 +197,6 @@
   void collectHealthReports();
   /// Whether another host is known to be in the data centre of this host or of an upstream.
   [[nodiscard]] bool isNearby(HostId aHost, const steering::Upstream& aUpstream) const;
-  /// Applies a report of missing responses of another host. Returns whether it was new.
-  bool onUnresponsiveReport(TimePoint aNow,
-                            const dissemination::HealthReport& aReport,
-                            steering::Upstream& aUpstream);
-  /// Takes out the evidence of hosts that reported upstreams which answer here.
-  void dismissContradictedReports(TimePoint aNow);
   /// Applies an observation of another host. A reader passes it on if it was new.
   void onObservation(TimePoint aNow, const dissemination::HealthReport& aObservation);
 
@@ -235,7 +228,6 @@
   registry::HistoryId m_distrustedHistory{};
   BootstrapPolicy m_bootstrap;
   PauseDetector m_pauseDetector;
-  ReporterCredibility m_reporterCredibility;
   WithdrawalPolicy m_withdrawalPolicy;
   /// Why the initial records are read from the store; empty until they are.
   std::string m_bootstrapReadReason;
--- a/lib/steering/PassiveHealth.h
+++ b/lib/steering/PassiveHealth.h
@@ -7,14 +7,12 @@
 // can answers no SYN, but serves the flows that it holds, so unanswered SYNs alone are no reason to
 // give up established flows. The same holds for reports of hosts that share neither the data centre
 // of this host nor that of the upstream, since they may be cut off from the upstream together.
-// Reports of a host whose own links are at fault only keep new flows away.
 #pragma once
 
 #include "base/Types.h"
 
 #include <algorithm>
 #include <array>
-#include <span>
 
 namespace tamarack::steering {
 
@@ -64,9 +62,8 @@
   bool onRetransmission(TimePoint aNow, double aSurprisal, TimePoint aLostAt)
   {
     const bool wasReached = evidenceAt(aNow) >= kSuspectEvidence;
-    removeOldReporters(aNow);
     addEvidence(aNow, aSurprisal, aLostAt);
-    m_hasOwnEvidence = true;
+    m_isCorroborated = true;
     const bool isReached = !wasReached && m_evidence >= kSuspectEvidence;
     return startAvoidanceIfSuspect(aNow) || isReached;
   }
@@ -112,49 +109,26 @@
   /// Records that another host reported missing responses. Returns whether this is the first such
   /// report of that host since the last response, or the first one that corroborates the evidence;
   /// reports may arrive more than once. `aIsNearby` says that the reporter is in the data centre of
-  /// this host or of the upstream; the report of one that is not credible adds no evidence.
-  bool onPeerReport(TimePoint aNow,
-                    HostId aReporter,
-                    bool aIsNearby = true,
-                    bool aIsCredible = true)
+  /// this host or of the upstream.
+  bool onPeerReport(TimePoint aNow, HostId aReporter, bool aIsNearby = true)
   {
-    removeOldReporters(aNow);
-    Reporter* reporter = findReporter(aReporter);
-    if (reporter != nullptr && (reporter->m_isCounted || !aIsCredible)) {
+    const bool isCurrent = aNow - m_lastEvidenceAt <= kEvidenceLifetime;
+    const auto known = m_reporters.begin() + m_reporterCount;
+    if (isCurrent && std::find(m_reporters.begin(), known, aReporter) != known) {
       return false;
     }
-    if (reporter == nullptr) {
-      reporter = findPlace(aIsCredible);
-    }
-    if (reporter == nullptr) {
-      if (!aIsCredible || !aIsNearby || isCorroborated()) {
-        return false;
-      }
-      // Takes the place of a reporter elsewhere, whose evidence stays.
-      m_reporters[0] = { aReporter, aNow, true, true };
-      return true;
-    }
-    *reporter = { aReporter, aNow, aIsNearby, aIsCredible };
-    if (aIsCredible) {
-      addEvidence(aNow, kPeerReportEvidence, aNow);
+    if (isCurrent && m_reporterCount == kMaxReporters) {
+      const bool isFirstNearby = aIsNearby && !m_isCorroborated;
+      m_isCorroborated = m_isCorroborated || aIsNearby;
+      return isFirstNearby;
     }
+    addEvidence(aNow, kPeerReportEvidence, aNow);
+    m_isCorroborated = m_isCorroborated || aIsNearby;
+    m_reporters[m_reporterCount++] = aReporter;
     m_avoidedUntil = std::max(m_avoidedUntil, aNow + kInitialAvoidanceTime);
     return true;
   }
 
-  /// Takes the evidence out that a host added which has turned out not to be credible.
-  void dismissReporter(HostId aReporter)
-  {
-    Reporter* const reporter = findReporter(aReporter);
-    if (reporter == nullptr || !reporter->m_isCounted) {
-      return;
-    }
-    reporter->m_isCounted = false;
-    m_evidence = std::max(0.0, m_evidence - kPeerReportEvidence);
-    const bool isLast = std::ranges::none_of(reporters(), &Reporter::m_isCounted);
-    m_evidence = isLast && !m_hasOwnEvidence ? 0 : m_evidence;
-  }
-
   /// Whether new flows should go to other upstreams.
   [[nodiscard]] bool isAvoided(TimePoint aNow) const { return aNow < m_avoidedUntil; }
   /// Whether the evidence suffices to reset established flows, unless it is void by its age; see
@@ -169,12 +143,7 @@
   [[nodiscard]] double evidence() const { return m_evidence; }
   [[nodiscard]] double synEvidence() const { return m_synEvidence; }
   /// Whether some of the evidence of established flows comes from this host or from one nearby.
-  [[nodiscard]] bool isCorroborated() const
-  {
-    return m_hasOwnEvidence || std::ranges::any_of(reporters(), [](const Reporter& aReporter) {
-             return aReporter.m_isCounted && aReporter.m_isNearby;
-           });
-  }
+  [[nodiscard]] bool isCorroborated() const { return m_isCorroborated; }
   /// Time of the first of the evidence of established flows.
   [[nodiscard]] TimePoint firstEvidenceAt() const { return m_firstEvidenceAt; }
   /// Times of the latest evidence of each kind; the epoch if there is none.
@@ -187,55 +156,6 @@
   }
 
 private:
-  struct Reporter
-  {
-    HostId m_host;
-    TimePoint m_reportedAt;
-    bool m_isNearby{};
-    /// Whether the report is part of m_evidence.
-    bool m_isCounted{};
-  };
-
-  [[nodiscard]] std::span<const Reporter> reporters() const
-  {
-    return std::span(m_reporters).first(m_reporterCount);
-  }
-
-  [[nodiscard]] Reporter* findReporter(HostId aHost)
-  {
-    const auto end = m_reporters.begin() + m_reporterCount;
-    const auto found = std::find_if(m_reporters.begin(), end, [aHost](const Reporter& aReporter) {
-      return aReporter.m_host == aHost;
-    });
-    return found == end ? nullptr : &*found;
-  }
-
-  /// Returns a free place, or for a credible reporter the place of one that was not; null if there
-  /// is none.
-  [[nodiscard]] Reporter* findPlace(bool aIsCredible)
-  {
-    if (m_reporterCount < kMaxReporters) {
-      return &m_reporters[m_reporterCount++];
-    }
-    const auto found =
-      std::find_if(m_reporters.begin(), m_reporters.end(), [](const Reporter& aReporter) {
-        return !aReporter.m_isCounted;
-      });
-    return aIsCredible && found != m_reporters.end() ? &*found : nullptr;
-  }
-
-  /// Removes the reporters whose reports are void by their age. Those that are counted last as long
-  /// as the evidence.
-  void removeOldReporters(TimePoint aNow)
-  {
-    const bool isCurrent = evidenceAt(aNow) > 0;
-    const auto end = m_reporters.begin() + m_reporterCount;
-    const auto kept = std::remove_if(m_reporters.begin(), end, [&](const Reporter& aReporter) {
-      return aReporter.m_isCounted ? !isCurrent : aNow - aReporter.m_reportedAt > kEvidenceLifetime;
-    });
-    m_reporterCount = static_cast<uint32_t>(kept - m_reporters.begin());
-  }
-
   [[nodiscard]] double evidenceAt(TimePoint aNow) const
   {
     return aNow - m_lastEvidenceAt <= kEvidenceLifetime ? m_evidence : 0;
@@ -264,7 +184,8 @@
     if (evidenceAt(aNow) == 0) {
       m_lastEvidenceAt = {};
       m_evidence = 0;
-      m_hasOwnEvidence = false;
+      m_reporterCount = 0;
+      m_isCorroborated = false;
       m_firstEvidenceAt = aNow;
     }
     m_evidence += aEvidence;
@@ -278,10 +199,10 @@
   double m_synEvidence{};
   /// Hosts that reported missing responses since the last response; the first m_reporterCount
   /// entries are set.
-  std::array<Reporter, kMaxReporters> m_reporters{};
+  std::array<HostId, kMaxReporters> m_reporters{};
   uint32_t m_reporterCount{};
-  /// Whether callers of this host added to m_evidence; valid while it is not 0.
-  bool m_hasOwnEvidence{};
+  /// See isCorroborated(); valid while m_evidence is not 0.
+  bool m_isCorroborated{};
   /// Valid while m_evidence is not 0.
   TimePoint m_firstEvidenceAt;
   TimePoint m_lastEvidenceAt;
