[steering] An entry of an earlier start shows no life beside a process that answers

Cause: of an entry that stays, only writes and disturbances of the registry counted, not the answers of the process that started later. An entry without a start time, which another writer may have left, displaced an upstream by three writes, too.

--- a/lib/edge/RemovedEntryTest.cpp
+++ b/lib/edge/RemovedEntryTest.cpp
@@ -190,6 +190,17 @@
   CHECK(fixture.countLogged(EventId::UpstreamEnded) == ended);
 }
 
+TEST_CASE("an entry of an earlier start that stays resets no flow of a process that answers")
+{
+  // Guards against a verdict by the age of an entry alone, for example after a clock went back.
+  ServedFixture fixture;
+  registry::UpstreamRecord earlier = HeartbeatFixture::record(1);
+  earlier.m_startedAtMs = 500;
+  fixture.stopHeartbeats(1);
+  fixture.write(HeartbeatFixture::nameOf(1), earlier);
+  fixture.serve(Millis{ 10'000 });
+}
+
 TEST_CASE("requests on flows of a former process are rejected although a late write of it arrives")
 {
   // Guards against callers that wait for a process that has gone.
--- a/lib/steering/AddressClaims.cpp
+++ b/lib/steering/AddressClaims.cpp
@@ -92,7 +92,9 @@
   const int64_t startedLater = aClaimant.m_record.m_startedAtMs - aHolder.m_record.m_startedAtMs;
   if (startedLater < 0) {
     const bool isHolderGone = aHolder.m_registration != RegistrationState::Registered;
-    return aClaimant.m_hasAddressConflict &&
+    // Entries of upstreams have a start time; one without it may be of another writer.
+    const bool isOfUpstream = aClaimant.m_record.m_startedAtMs != 0 || isHolderGone;
+    return aClaimant.m_hasAddressConflict && isOfUpstream &&
            isEarlierProcessAlive(
              aClaimant.m_claimWrites, aClaimant.m_claimedAt, aHolder, isHolderGone);
   }
@@ -111,8 +113,10 @@
   if (aWrites.m_count >= kMinClaimWrites && aWrites.m_lastAt - writtenSince >= kMinClaimWriteSpan) {
     return true;
   }
-  // A host hears of the removal of an entry late by the age of its records at most.
-  const TimePoint heardAt = std::max({ aFirstSeenAt, aWrites.m_lastAt, m_silenceSince });
+  // A host hears of the removal of an entry late by the age of its records at most. The later
+  // process lives if it answers.
+  const TimePoint heardAt =
+    std::max({ aFirstSeenAt, aWrites.m_lastAt, aLater.m_lastAnswerAt, m_silenceSince });
   return aIsLaterEntryGone && m_lastTick - heardAt >= kEntryExpiryTime + kMaxTrustedViewAge;
 }
 
