--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -22,7 +22,11 @@
 constexpr Millis kHeartbeat{ 1200 };
 constexpr Millis kSynLimit{ 1400 };
 constexpr Millis kMaxInterval{ 1600 };
-constexpr int kQueue = 16;
+constexpr size_t kQueue = 16;
+constexpr int kMaxFiles = 1024;
+/// The second parts of the loopback addresses that runs use.
+constexpr uint32_t kFirstLane = 100;
+constexpr uint32_t kLanes = 100;
 constexpr size_t kRequestBytes = 200;
 
 void
@@ -392,7 +396,8 @@
   : m_world(aWorld)
   , m_options(std::move(aOptions))
   , m_number(std::stoull(m_options.m_id.substr(2), nullptr, 16))
-  , m_born(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
+  , m_born(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch() +
+                                              m_options.m_clockAhead)
              .count())
   , m_socket(aWorld.m_io, udp(m_options.m_address, kEndpointPort))
   , m_beat(aWorld.m_io)
@@ -414,6 +419,15 @@
   beat();
 }
 
+void
+Endpoint::crash()
+{
+  m_hasCrashed = true;
+  m_beat.cancel();
+  m_flows.clear();
+  m_queue.clear();
+}
+
 void
 Endpoint::beat()
 {
@@ -488,6 +502,10 @@
     m_world.m_record.line("endpoint " + m_options.m_id + " got a packet with a wrong sum");
     return;
   }
+  if (m_hasCrashed) {
+    reply(*packet, kRst, 0, {});
+    return;
+  }
   const FlowKey key{ packet->m_source, packet->m_sourcePort, packet->m_destinationPort };
   if ((packet->m_flags & kSyn) != 0) {
     const auto [flow, isNew] = m_flows.try_emplace(key);
@@ -738,7 +756,6 @@
 
 World::World(const std::string& aFolder, const std::string& aProgram)
   : m_record(aFolder + "/record.txt")
-  , m_lane(static_cast<uint32_t>(100 + ::getpid() % 100))
   , m_program(aProgram)
 {
   std::string pattern = (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string();
@@ -746,7 +763,17 @@
     throw std::runtime_error("no temporary folder");
   }
   m_temporary = pattern;
-  m_store = std::make_unique<Store>(m_io, address(10, 1));
+  // The addresses of a run are those of the first lane that no other run uses.
+  for (uint32_t attempt = 0; !m_store; ++attempt) {
+    m_lane = kFirstLane + (static_cast<uint32_t>(::getpid()) + attempt) % kLanes;
+    try {
+      m_store = std::make_unique<Store>(m_io, address(10, 1));
+    } catch (const std::system_error&) {
+      if (attempt == kLanes) {
+        throw;
+      }
+    }
+  }
 }
 
 World::~World()
@@ -807,6 +834,10 @@
     const int log = ::open(aEdge.m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // The sockets of the stand-ins are not the process's.
+    for (int file = STDERR_FILENO + 1; file < kMaxFiles; ++file) {
+      ::close(file);
+    }
     ::execl(m_program.c_str(),
             m_program.c_str(),
             "--config",
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -143,6 +143,8 @@
     std::string m_zone;
     uint32_t m_address{};
     int m_slots{ 4 };
+    /// What its machine's time of day is ahead by at its start.
+    Millis m_clockAhead{};
     /// How long it is cold after its start.
     Millis m_coldFor{};
   };
@@ -154,6 +156,8 @@
   /// Time that the next requests take.
   void setWork(std::function<Millis()> aWork) { m_work = std::move(aWork); }
   void drain();
+  /// The process ends; its machine answers every packet with a reset until it starts again.
+  void crash();
   [[nodiscard]] const Options& options() const { return m_options; }
   /// Called when a packet opens a flow here.
   std::function<void(const Packet&)> m_onOpened;
@@ -193,6 +197,7 @@
   std::string m_lastEntry;
   uint64_t m_beats{};
   bool m_isDraining{};
+  bool m_hasCrashed{};
   std::shared_ptr<bool> m_isAlive{ std::make_shared<bool>(true) };
 };
 
@@ -307,7 +312,7 @@
   uint32_t m_random{ 12345 };
 
 private:
-  uint32_t m_lane;
+  uint32_t m_lane{};
   std::string m_program;
   std::string m_temporary;
   std::vector<std::shared_ptr<asio::steady_timer>> m_timers;
