--- a/review/standins-2/Scenarios.cpp
+++ b/review/standins-2/Scenarios.cpp
@@ -9,14 +9,12 @@
 
 namespace {
 
-constexpr uint16_t kMovedRoute = 443;
-/// The bounds of a small deployment: converge_ms, and contact_ms for hosts in touch.
-constexpr double kConvergeS = 3.0;
+constexpr uint16_t kRoutePort = 443;
 /// Endpoints are cold for this long after a start.
 constexpr double kWarmUpS = 4.0;
 constexpr Millis kWarmUp{ 4000 };
 
-/// A configuration whose route kMovedRoute goes to `aService`, with `aIdleRoutes` routes without
+/// A configuration whose route at kRoutePort goes to `aService`, with `aIdleRoutes` routes without
 /// traffic.
 std::string
 makeConfiguration(int aVersion,
@@ -37,7 +35,7 @@
                        { "service", aTo },
                        { "max_attempts", 2 } });
   };
-  add("r-moved", kRouteAddress, kMovedRoute, aService.c_str());
+  add("r-main", kRouteAddress, kRoutePort, aService.c_str());
   for (int index = 0; index < aIdleRoutes; ++index) {
     add("r-idle" + std::to_string(index),
         kRouteAddress + 1 + static_cast<uint32_t>(index / 1000),
@@ -82,84 +80,6 @@
   }
 }
 
-/// Configurations in quick succession; the last change moves a route to another service.
-int
-runConfigurationStorm(World& aWorld, bool aIsTroubled)
-{
-  constexpr int idleRoutes = 4500;
-  constexpr double stormAt = 14.0;
-  constexpr double stormGap = 0.06;
-  constexpr int stormChanges = 25;
-  constexpr double moveAt = 16.5;
-  constexpr double endAt = 45.0;
-  addDeployment(aWorld, 3);
-  int version = 1;
-  const auto publish = [&](const std::string& aService) {
-    const std::string text = makeConfiguration(version, aService, idleRoutes, 15000 + 10 * version);
-    aWorld.m_store->put("op/config", text);
-    aWorld.m_record.line("configuration " + std::to_string(version) + " with the route to " +
-                         aService + " acknowledged, " + std::to_string(text.size()) + " bytes");
-    version += 2;
-  };
-  publish("service-a");
-  aWorld.startEdges();
-  if (aIsTroubled) {
-    for (int change = 0; change < stormChanges; ++change) {
-      aWorld.at(stormAt + stormGap * change, [&] { publish("service-a"); });
-    }
-  }
-  double movedAt = 0;
-  aWorld.at(moveAt, [&] {
-    publish("service-b");
-    movedAt = aWorld.m_record.seconds();
-  });
-  std::vector<std::unique_ptr<Caller>> callers;
-  for (uint32_t index = 0; index < 3; ++index) {
-    callers.push_back(
-      std::make_unique<Caller>(aWorld,
-                               aWorld.address(13, index + 1),
-                               std::string("zone-") + static_cast<char>('a' + index)));
-  }
-  std::map<std::string, int> outcomes;
-  int late = 0;
-  double lastLate = 0;
-  const auto onDone = [&](const FlowResult& aResult) {
-    const std::string by = aResult.m_endpoint.empty() ? "nobody" : aResult.m_endpoint;
-    aWorld.m_record.line("flow sent at " + std::to_string(aResult.m_sentAt) + ": " +
-                         aResult.m_outcome + " by " + by);
-    ++outcomes[aResult.m_outcome];
-    if (movedAt > 0 && aResult.m_sentAt > movedAt + kConvergeS && by.starts_with("i-a")) {
-      ++late;
-      lastLate = std::max(lastLate, aResult.m_sentAt - movedAt);
-    }
-  };
-  std::function<void()> openNext;
-  size_t next = 0;
-  double nextAt = 10.0;
-  openNext = [&] {
-    callers[next++ % callers.size()]->open({ .m_routePort = kMovedRoute }, onDone);
-    nextAt += 0.05;
-    if (nextAt < endAt - 3) {
-      aWorld.at(nextAt, openNext);
-    }
-  };
-  aWorld.at(nextAt, openNext);
-  aWorld.run(endAt);
-  for (const auto& [outcome, count] : outcomes) {
-    aWorld.m_record.line("flows " + outcome + ": " + std::to_string(count));
-  }
-  aWorld.m_record.line(
-    "largest answer of the store: " + std::to_string(aWorld.m_store->largestAnswer()) + " bytes");
-  aWorld.m_record.line("flows sent more than 3 s after the acknowledgement and run by the old "
-                       "service: " +
-                       std::to_string(late) + ", the last one after " + std::to_string(lastLate) +
-                       " s");
-  if (aWorld.hasProcessEnded() || outcomes["served"] == 0 || movedAt == 0) {
-    return 2;
-  }
-  return late > 0 ? 1 : 0;
-}
-
 /// Opens flows at a steady rate in all zones from `aFrom` to `aTo`.
 class SteadyTraffic
 {
@@ -187,7 +107,7 @@
 private:
   void openNext()
   {
-    m_callers[m_next++ % m_callers.size()]->open({ .m_routePort = kMovedRoute }, m_onDone);
+    m_callers[m_next++ % m_callers.size()]->open({ .m_routePort = kRoutePort }, m_onDone);
     m_nextAt += m_gap;
     if (m_nextAt < m_to) {
       m_world.at(m_nextAt, [this] { openNext(); });
@@ -209,6 +129,9 @@
 {
   constexpr double warmUpPerS = 3.5;
   constexpr double limit = warmUpPerS * 1.5 + 5;
+  // Four slots bear warmUpPerS requests a second while the endpoint is cold.
+  constexpr Millis coldWork{ static_cast<int64_t>(1000 * 4 / warmUpPerS) };
+  constexpr Millis warmWork{ 20 };
   constexpr double downAt = 16.0;
   constexpr double downFor = 4.5;
   constexpr double crashAt = 16.5;
@@ -245,6 +168,10 @@
       Endpoint& endpoint = aWorld.addEndpoint(options);
       const double startedAt = aWorld.m_record.seconds();
       aWorld.m_record.line("endpoint " + id + " starts again, cold for 4 s");
+      endpoint.setWork([&, startedAt] {
+        const bool isCold = aWorld.m_record.seconds() - startedAt < kWarmUpS;
+        return isCold ? coldWork : warmWork;
+      });
       endpoint.m_onOpened = [&, startedAt](const Packet&) {
         const double now = aWorld.m_record.seconds();
         if (now - startedAt > kWarmUpS) {
@@ -356,20 +283,98 @@
   return late > 0 ? 1 : 0;
 }
 
+/// The same two starts of an endpoint. Later a host is restarted as planned, while callers keep
+/// flows at the endpoint open.
+int
+runRestartToken(World& aWorld, bool aIsTroubled)
+{
+  constexpr Millis step{ 2400 };
+  constexpr double startAt = 12.0;
+  constexpr double crashAt = 13.2;
+  constexpr double crashFor = 0.4;
+  constexpr double openAt = 15.0;
+  constexpr int flows = 40;
+  constexpr double restartAt = 23.0;
+  constexpr double endAt = 44.0;
+  const char* const trouble = std::getenv("TROUBLE");
+  const bool isStepped = aIsTroubled && (trouble == nullptr || std::string(trouble) != "crash");
+  addDeployment(aWorld, 3);
+  aWorld.m_store->put("op/config", makeConfiguration(1, "service-a", 8, 15000));
+  aWorld.startEdges();
+  const Endpoint::Options options{ .m_id = "i-a2000",
+                                   .m_service = "service-a",
+                                   .m_zone = "zone-a",
+                                   .m_address = aWorld.address(12, 100),
+                                   .m_clockAhead = isStepped ? step : Millis{},
+                                   .m_coldFor = kWarmUp };
+  const auto start = [&](const Endpoint::Options& aOptions) {
+    aWorld.addEndpoint(aOptions);
+    aWorld.m_record.line("endpoint " + aOptions.m_id + " starts, its time of day is ahead by " +
+                         std::to_string(aOptions.m_clockAhead.count()) + " ms");
+  };
+  aWorld.at(startAt, [&] { start(options); });
+  if (aIsTroubled) {
+    aWorld.at(crashAt, [&] {
+      aWorld.findEndpoint(options.m_id)->crash();
+      aWorld.m_record.line("endpoint " + options.m_id + " crashes");
+    });
+    aWorld.at(crashAt + crashFor, [&] {
+      aWorld.removeEndpoint(options.m_id);
+      Endpoint::Options again = options;
+      again.m_clockAhead = {};
+      start(again);
+    });
+  }
+  aWorld.at(restartAt, [&] { aWorld.restartAsPlanned(*aWorld.m_edges.front()); });
+  std::map<std::string, int> outcomes;
+  int broken = 0;
+  int itsFlows = 0;
+  Caller keeper(aWorld, aWorld.address(13, 9), "zone-a");
+  for (int index = 0; index < flows; ++index) {
+    aWorld.at(openAt + 0.05 * index, [&] {
+      keeper.open({ .m_routePort = kRoutePort,
+                    .m_requests = 45,
+                    .m_pause = Millis{ 400 },
+                    .m_deadline = Millis{ 6000 } },
+                  [&](const FlowResult& aResult) {
+                    aWorld.m_record.line("kept flow opened at " + std::to_string(aResult.m_sentAt) +
+                                         ": " + aResult.m_outcome + ", last answer of " +
+                                         aResult.m_endpoint);
+                    itsFlows += aResult.m_endpoint == options.m_id ? 1 : 0;
+                    broken += aResult.m_outcome == "reset" && aResult.m_wasResetBySystem ? 1 : 0;
+                  });
+    });
+  }
+  const SteadyTraffic traffic(aWorld, 10.0, endAt - 3, 1.0 / 30, [&](const FlowResult& aResult) {
+    ++outcomes[aResult.m_outcome];
+  });
+  aWorld.run(endAt);
+  for (const auto& [outcome, count] : outcomes) {
+    aWorld.m_record.line("other flows " + outcome + ": " + std::to_string(count));
+  }
+  aWorld.m_record.line(
+    "kept flows at the endpoint: " + std::to_string(itsFlows) +
+    ", kept flows that the system reset while their endpoint lives: " + std::to_string(broken));
+  if (aWorld.hasProcessEnded() || itsFlows == 0) {
+    return 2;
+  }
+  return broken > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int
 runScenario(const std::string& aCase, World& aWorld, bool aIsTroubled)
 {
-  if (aCase == "configuration-storm") {
-    return runConfigurationStorm(aWorld, aIsTroubled);
-  }
   if (aCase == "cold-restart") {
     return runColdRestart(aWorld, aIsTroubled);
   }
   if (aCase == "stepped-clock") {
     return runSteppedClock(aWorld, aIsTroubled);
   }
+  if (aCase == "restart-token") {
+    return runRestartToken(aWorld, aIsTroubled);
+  }
   std::cerr << "unknown case " << aCase << "\n";
   return 2;
 }
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -24,6 +24,9 @@
 constexpr Millis kMaxInterval{ 1600 };
 constexpr size_t kQueue = 16;
 constexpr int kMaxFiles = 1024;
+/// Two checks of the routers, and the time between two looks for the end of a process, in seconds.
+constexpr double kCheckS = 1.0;
+constexpr double kPollS = 0.05;
 /// The second parts of the loopback addresses that runs use.
 constexpr uint32_t kFirstLane = 100;
 constexpr uint32_t kLanes = 100;
@@ -201,11 +204,7 @@
 {
   aEvent.m_revision = ++m_revision;
   aEvent.m_at = Clock::now();
-  if (aEvent.m_isRemoval) {
-    m_items.erase(aEvent.m_key);
-  } else {
-    m_items[aEvent.m_key] = aEvent;
-  }
+  m_items[aEvent.m_key] = aEvent;
   m_history.push_back(std::move(aEvent));
   discardHistory();
   for (const auto& weak : m_connections) {
@@ -232,17 +231,6 @@
   write({ .m_key = aKey, .m_text = std::move(text), .m_valueBytes = aValue.size() });
 }
 
-void
-Store::remove(const std::string& aKey)
-{
-  if (!m_items.contains(aKey)) {
-    return;
-  }
-  auto text = std::make_shared<std::string>(
-    "{\"key\":\"" + aKey + "\",\"rev\":" + std::to_string(m_revision + 1) + ",\"tombstone\":true}");
-  write({ .m_key = aKey, .m_text = std::move(text), .m_isRemoval = true });
-}
-
 void
 Store::setDown(bool aIsDown)
 {
@@ -377,7 +365,6 @@
 void
 Store::answer(const std::shared_ptr<Connection>& aConnection, int aStatus, std::string aBody)
 {
-  m_largestAnswer = std::max<uint64_t>(m_largestAnswer, aBody.size());
   auto text =
     std::make_shared<std::string>("HTTP/1.1 " + std::to_string(aStatus) +
                                   " Answer\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
@@ -711,6 +698,7 @@
   if ((aPacket.m_flags & kRst) != 0) {
     m_world.m_record.line("reset of port " + std::to_string(flow.m_port) + " by " +
                           (aPacket.m_sum == 0 ? "the system" : "an endpoint"));
+    flow.m_result.m_wasResetBySystem = aPacket.m_sum == 0;
     end(flow.m_port, flow.m_result.m_isOpen ? "reset" : "refused");
     return;
   }
@@ -730,7 +718,8 @@
   flow.m_isWaiting = false;
   flow.m_sequence += kRequestBytes;
   flow.m_peer += static_cast<uint32_t>(aPacket.m_data.size());
-  if (aPacket.m_data.front() == 'k') {
+  const bool isServed = aPacket.m_data.front() == 'k';
+  if (isServed) {
     flow.m_result.m_endpoint.assign(aPacket.m_data.begin() + 1, aPacket.m_data.end());
   }
   send(flow, kAck, flow.m_peer, 0);
@@ -739,7 +728,7 @@
     return;
   }
   send(flow, kFin | kAck, flow.m_peer, 0);
-  end(flow.m_port, "served");
+  end(flow.m_port, isServed ? "served" : "failed");
 }
 
 void
@@ -858,6 +847,26 @@
   }
 }
 
+void
+World::restartAsPlanned(Edge& aEdge)
+{
+  m_record.line("process " + formatAddress(aEdge.m_address) + " gets SIGTERM");
+  ::kill(aEdge.m_process, SIGTERM);
+  at(m_record.seconds() + kCheckS, [&aEdge] { aEdge.m_isInRotation = false; });
+  startAgainOnceEnded(aEdge);
+}
+
+void
+World::startAgainOnceEnded(Edge& aEdge)
+{
+  if (::waitpid(aEdge.m_process, nullptr, WNOHANG) == 0) {
+    at(m_record.seconds() + kPollS, [this, &aEdge] { startAgainOnceEnded(aEdge); });
+    return;
+  }
+  start(aEdge);
+  at(m_record.seconds() + kCheckS, [&aEdge] { aEdge.m_isInRotation = true; });
+}
+
 bool
 World::hasProcessEnded()
 {
@@ -924,7 +933,7 @@
 {
   std::vector<uint32_t> targets;
   for (const auto& edge : m_edges) {
-    if (edge->m_zone == aZone && edge->m_process > 0) {
+    if (edge->m_zone == aZone && edge->m_isInRotation) {
       targets.push_back(edge->m_address);
     }
   }
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -86,12 +86,9 @@
   Store(asio::io_context& aIo, uint32_t aAddress);
   /// Writes an item; the return is the acknowledgement.
   void put(const std::string& aKey, const std::string& aValue);
-  void remove(const std::string& aKey);
   /// While down, connections are closed and new ones are refused with 503.
   void setDown(bool aIsDown);
   [[nodiscard]] bool isDown() const { return m_isDown; }
-  [[nodiscard]] uint64_t revision() const { return m_revision; }
-  [[nodiscard]] uint64_t largestAnswer() const { return m_largestAnswer; }
 
 private:
   static constexpr std::chrono::seconds kHistory{ 20 };
@@ -102,10 +99,9 @@
   {
     std::string m_key;
     uint64_t m_revision{};
-    /// JSON text of the item as it was written, or of its removal.
+    /// JSON text of the item as it was written.
     std::shared_ptr<const std::string> m_text;
     size_t m_valueBytes{};
-    bool m_isRemoval{};
     Clock::time_point m_at;
   };
   struct Connection;
@@ -125,7 +121,6 @@
   uint64_t m_revision{ 1 };
   /// Watches of earlier revisions are answered with 410.
   uint64_t m_floor{ 1 };
-  uint64_t m_largestAnswer{};
   bool m_isDown{};
   std::vector<std::weak_ptr<Connection>> m_connections;
 };
@@ -209,9 +204,11 @@
   uint16_t m_routePort{};
   /// The endpoint that answered; empty if none did.
   std::string m_endpoint;
-  /// "served", "reset", "refused" (reset before it opened) or "silent".
+  /// "served", "failed" (the endpoint's queue was full), "reset", "refused" (reset before it
+  /// opened) or "silent".
   std::string m_outcome;
   bool m_isOpen{};
+  bool m_wasResetBySystem{};
 };
 
 /// One host of callers. Each flow carries one request after another, with pauses between them.
@@ -272,6 +269,8 @@
   std::string m_config;
   std::string m_log;
   pid_t m_process{};
+  /// The routers send packets to it.
+  bool m_isInRotation{ true };
 };
 
 class World
@@ -291,6 +290,9 @@
   void addEdge(const std::string& aZone);
   void startEdges();
   void start(Edge& aEdge);
+  /// Stops a process as planned work does, and starts it again: the routers leave it after two
+  /// missed checks, and return to it when it answers them.
+  void restartAsPlanned(Edge& aEdge);
   /// Ends a process by its id and waits for it.
   void stop(Edge& aEdge, int aSignal);
   Endpoint& addEndpoint(Endpoint::Options aOptions);
@@ -312,6 +314,8 @@
   uint32_t m_random{ 12345 };
 
 private:
+  void startAgainOnceEnded(Edge& aEdge);
+
   uint32_t m_lane{};
   std::string m_program;
   std::string m_temporary;
