--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -10,6 +10,7 @@
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -820,6 +821,8 @@
 {
   aEdge.m_process = ::fork();
   if (aEdge.m_process == 0) {
+    // It ends with this program, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = ::open(aEdge.m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
